--- a/saffrongw/__main__.py
+++ b/saffrongw/__main__.py
@@ -47,6 +47,7 @@
     driver.start(config.known)
     Watch(loop, config.discovery, config.zones, driver.listed).start()
     clients = Clients(driver, config, client_sockets)
+    driver.stats.start(loop, lambda: clients.gauges() | {"calls": len(driver.calls)} | driver.hosts.gauges())
     await clients.listen()
     gc.collect()
     gc.freeze()  # what is loaded by now stays: it need not be looked through again
@@ -56,7 +57,7 @@
 
 def main() -> int:
     """Read the configuration and serve; one plain line and 1 where it is wrong."""
-    logging.basicConfig(level=logging.WARNING, format="%(asctime)s %(levelname)s %(message)s")
+    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     try:
         config = parse(Path(os.environ["LB_CONFIG"]).read_text())
     except (OSError, KeyError, ValueError, TypeError) as wrong:
--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -121,6 +121,7 @@
                 raise hiredis.ProtocolError("command too long")
         except hiredis.ProtocolError as wrong:  # where the next command starts is lost
             self.closing = True
+            self.clients.driver.stats["client_protocol_error"] += 1
             self._reply(b"-ERR %b\r\n" % " ".join(str(wrong).split()).encode(errors="replace"))
 
     def _command(self, command: object) -> None:
@@ -138,8 +139,10 @@
         try:
             terms, parts = parse(command, self.clients.config)
         except Malformed as wrong:
+            self.clients.driver.stats["client_malformed"] += 1
             return self._reply(b"-ERR %b\r\n" % str(wrong).encode())
         if self.clients.crowded():  # guards the limit on descriptors: it has not run, and there is no room
+            self.clients.driver.stats["refused_crowded"] += 1
             return self._reply(b"-BUSY 1000\r\n")
         slot = Slot(self)
         self.slots.append(slot)
@@ -188,9 +191,11 @@
 
     def opened(self, client: Client) -> None:
         """One more; beyond the limit the one that is idle makes room."""
+        self.driver.stats["client_accepted"] += 1
         if self.crowded(extra=1):
             for other in self.open:
                 if not other.slots and not other.unfinished:
+                    self.driver.stats["client_evicted"] += 1
                     other.transport.close()
                     break
         self.open[client] = None
@@ -199,6 +204,16 @@
         """Whether there are more connections than descriptors were set aside for."""
         return len(self.open) + extra > self.most
 
+    def gauges(self) -> dict[str, int]:
+        """Connections by what they are doing."""
+        return {
+            "client_conns": len(self.open),
+            "client_conns_most": self.most,
+            "client_idle": sum(not c.slots and not c.unfinished for c in self.open),
+            "client_unfinished": sum(c.unfinished > 0 for c in self.open),
+            "client_unfinished_bytes": sum(c.unfinished for c in self.open),
+        }
+
     async def drain(self, accept_for: float) -> None:
         """Close connections as they fall idle, go on accepting for a while, then finish what is held."""
         self.draining = True
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -17,6 +17,7 @@
 from orchidlane.rules import Gateway
 
 from .config import HostList
+from .stats import Stats
 
 log = logging.getLogger(__name__)
 
@@ -100,6 +101,7 @@
         self.hosts: Hosts | None = None
         self.tell_peer: Callable[[int, bytes], None] = lambda rank, body: None
         self.calls: dict[int, Call] = {}
+        self.stats = Stats()
         self.last_number = 0
         self.pending: deque[api.Event] = deque()
         self.feeding = False
@@ -114,6 +116,7 @@
     def arrived(self, terms: Terms, parts: tuple[bytes, ...], answer: Callable[[bytes], None]) -> Call:
         """A client's request, its last byte just read; the client's own ids stay outside the module."""
         self.last_number += 1
+        self.stats["requests"] += 1
         left = max(MS, terms.wait - ON_THE_WAY)
         event = api.RequestArrived(
             self.last_number,
@@ -135,6 +138,7 @@
     def client_gone(self, call: Call) -> None:
         """The client has closed its connection: nothing is owed any more."""
         if not call.finished:
+            self.stats["client_gone"] += 1
             self._close(call)
             self.feed(api.ClientGone(call.event.request))
 
@@ -149,10 +153,12 @@
         if attempt.ended:
             return
         attempt.ended = True
+        self.stats["attempt_" + outcome.value.replace(" ", "_")] += 1
         if attempt.timer:
             attempt.timer.cancel()
         call = attempt.call
         if value is not None and not call.finished:
+            self.stats["served"] += 1
             self._finish(call, value)
         took = self.clock() - attempt.sent
         self.feed(
@@ -179,6 +185,7 @@
 
     def peer_said(self, sender: int, body: bytes) -> None:
         """A datagram of another gateway."""
+        self.stats["peer_in"] += 1
         self.feed(api.PeerMessage(sender, body))
 
     def feed(self, event: api.Event) -> None:
@@ -236,17 +243,20 @@
 
     def _refuse(self, action: api.Refuse) -> None:
         if call := self.calls.get(action.request):
+            self.stats["refused"] += 1
             wait = -(-action.retry_after // MS)  # a client that came back earlier would be refused again
             self._finish(call, b"-BUSY %d\r\n" % wait if wait else b"-BUSY\r\n")
 
     def _fail(self, action: api.Fail) -> None:
         if call := self.calls.get(action.request):
+            self.stats["failed"] += 1
             self._finish(call, FAILED)
 
     def _set_timer(self, action: api.SetTimer) -> None:
         self._after(action.span, self.feed, api.TimerFired(action.token))
 
     def _tell(self, action: api.TellPeer) -> None:
+        self.stats["peer_out"] += 1
         self.tell_peer(action.peer, action.body)
 
     def _nothing(self, action: api.Action) -> None:
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -235,6 +235,15 @@
             return
         ended(attempt, api.Outcome.ERROR, None, parse_report(line[-1].encode(), self.report_names))
 
+    def gauges(self) -> dict[str, int]:
+        """Connections to hosts, open or opening."""
+        return {
+            "host_conns": self.sockets,
+            "host_conns_most": self.most,
+            "host_idle": sum(len(pool.idle) for pool in self.pools.values()),
+            "host_waiting": sum(len(pool.waiting) for pool in self.pools.values()),
+        }
+
     def make_room(self) -> bool:
         """Whether one more connection may be opened; if need be the one longest idle makes room."""
         if self.sockets >= self.most:
