Bound array heads before hiredis: 13 bytes from a client stalled the gateway for seconds

Symptom: from 5 s on nearly nothing was served in time, most tries were refused with half of the quota unused, and CPU stood at the limit (8.7 s in 20 s a gateway, 0.49 in the worst second) with fewer requests served than in the good first seconds.

Evidence: the counters' own line, due each 5 s, came up to 16 s late, with cpu_ms=8584 for 247 requests, against cpu_ms=428 for 539 requests in the first good stretch. So the loop was held by few long steps, not by many requests. In each bad stretch, and in no good one, the line shows client_unfinished=1 with client_unfinished_bytes=13 and memory level: the length of `*\r\n`. Fed to hiredis alone, that head makes a list of as many places at once (untouched, so resident memory does not show it); every pass of the garbage collector then walks it, 5 s for 10^9, and freeing it takes another second. Requests that waited were by then past their time or expected too slow, hence the refusals with room in the quota.

Ruled out: descriptors (client_conns 44 to 112 of 168 in stalled stretches), memory (26 MB), the decisions' cost (0.7 ms a request in good stretches), slow hosts (attempts that were sent were answered in 50 ms).

Faulty lines: saffrongw/clients.py, Client.__init__ and data_received, which feed hiredis before any bound is checked: UNFINISHED_MOST counts bytes that came, not what they declare. saffrongw/resp.py now checks each head first; what is out of bounds gets an error line and a close, after all that came before it was read.

Test: tests/test_gateway.py (three heads; each seen to fail with the change taken out) and tests/test_resp.py.

--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -13,6 +13,7 @@
 
 from .config import Config
 from .driver import Call, Driver, Terms
+from .resp import Reader
 
 VALUE_MOST = 64 * 1024  # bytes in one value
 UNFINISHED_MOST = 5 * VALUE_MOST  # bytes of one command: more means that its framing is lost
@@ -88,7 +89,7 @@
 
     def __init__(self, clients: Clients) -> None:
         self.clients = clients
-        self.reader = hiredis.Reader()
+        self.reader = Reader(UNFINISHED_MOST)
         self.slots: deque[Slot] = deque()
         self.unfinished = 0  # bytes since the last whole command
         self.closing = False  # close once all is answered
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -248,6 +248,21 @@
     await until(lambda: caller.closed)
 
 
+@pytest.mark.parametrize("head", [b"*2147483647\r\n", b"*4\r\n*999999999\r\n", b"%99999999\r\n"])
+@asyncio_test
+async def test_a_head_that_declares_what_no_command_holds_is_answered_and_closed(head):
+    """The parser made room for all of it, and the garbage collector looked through it for seconds."""
+    caller = await Rig(await FakeHost("a").listen()).caller()
+    caller.ask(b"PING")
+    caller.transport.write(hiredis.pack_command((b"PING",)) + head[:5])
+    await caller.replied(2)
+    caller.transport.write(head[5:])
+    replies = await caller.replied(3)
+    assert replies[:2] == [b"PONG", b"PONG"]
+    assert error(replies[2]).startswith("ERR")
+    await until(lambda: caller.closed)
+
+
 @asyncio_test
 async def test_nothing_new_goes_to_a_host_that_drains_and_what_it_holds_is_finished():
     old, new = [await FakeHost(name).listen() for name in "ab"]
--- /dev/null
+++ b/tests/test_resp.py
@@ -0,0 +1,50 @@
+"""The guard before the RESP parser: what is read stays as it was, however it is cut."""
+
+from __future__ import annotations
+
+import hiredis
+import pytest
+
+from saffrongw.resp import ARRAY_MOST, LINE_MOST, Reader
+
+
+def read(chunks) -> tuple[list, bool]:
+    """The values of these bytes, and whether the framing was lost."""
+    reader, values = Reader(100), []
+    try:
+        for chunk in chunks:
+            reader.feed(chunk)
+            while (value := reader.gets()) is not False:
+                values.append(value)
+    except hiredis.ProtocolError:
+        return values, True
+    return values, False
+
+
+GOOD = hiredis.pack_command((b"A", b"*999999999\r\n$1\r\n", b"")) + b"*2\r\n$-1\r\n*1\r\n:7\r\n+ok\r\n"
+VALUES = [[b"A", b"*999999999\r\n$1\r\n", b""], [None, [7]], b"ok"]
+
+
+def test_values_are_read_whole_wherever_they_are_cut():
+    for cut in range(len(GOOD) + 1):
+        assert read([GOOD[:cut], GOOD[cut:]]) == (VALUES, False)
+    assert read(GOOD[i : i + 1] for i in range(len(GOOD))) == (VALUES, False)
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"*%d\r\n" % (ARRAY_MOST + 1),
+        b"*1\r\n*%d\r\n" % 2**31,
+        b"*-2\r\n",
+        b"$101\r\n",
+        b"$x\r\n",
+        b"$10\n",
+        b"%1\r\n",
+        b"PING\r\n",
+        b"+" + b"x" * LINE_MOST,
+    ],
+)
+def test_what_is_out_of_bounds_is_told_after_all_before_it_was_read(bad):
+    assert read([GOOD + bad]) == (VALUES, True)
+    assert read([GOOD, *(bad[i : i + 1] for i in range(len(bad)))]) == (VALUES, True)
