Bound hosts' answers too: one declared array stalled all gateways, or took their memory

Faulty line: saffrongw/hosts.py, Connection.__init__: the bare parser. With the guarded reader such an answer is a failed attempt that may have run, and its connection is closed, as for any other broken answer.

Test: tests/test_gateway.py, three broken answers; two of them seen to fail with the change taken out (the third, plain text, was read aright before).

--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -13,9 +13,8 @@
 
 from .config import Config
 from .driver import Call, Driver, Terms
-from .resp import Reader
+from .resp import VALUE_MOST, Reader
 
-VALUE_MOST = 64 * 1024  # bytes in one value
 UNFINISHED_MOST = 5 * VALUE_MOST  # bytes of one command: more means that its framing is lost
 ID_MOST = 64  # bytes of a request's id
 UNFINISHED_FOR = 1.0  # seconds that a client stuck within a command may hold up the end
@@ -113,6 +112,7 @@
         if self.closing:
             return
         self.unfinished += len(data)
+        self.clients.driver.stats["client_bytes_in"] += len(data)
         try:
             self.reader.feed(data)
             while (command := self.reader.gets()) is not False:
@@ -211,6 +211,7 @@
             "client_conns": len(self.open),
             "client_conns_most": self.most,
             "client_idle": sum(not c.slots and not c.unfinished for c in self.open),
+            "client_slots": sum(len(c.slots) for c in self.open),
             "client_unfinished": sum(c.unfinished > 0 for c in self.open),
             "client_unfinished_bytes": sum(c.unfinished for c in self.open),
         }
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -16,6 +16,7 @@
 
 from .config import Address, HostList
 from .driver import Attempt, Driver
+from .resp import VALUE_MOST, Reader
 
 log = logging.getLogger(__name__)
 
@@ -49,7 +50,7 @@
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
         self.transport: asyncio.Transport | None = None
-        self.reader = hiredis.Reader()
+        self.reader = Reader(VALUE_MOST)
         self.attempt: Attempt | None = None
         self.idle_since = 0.0
         self.counted = False
@@ -76,6 +77,7 @@
 
     def data_received(self, data: bytes) -> None:
         """The answer, or a part of it."""
+        self.pool.hosts.driver.stats["host_bytes_in"] += len(data)
         try:
             self.reader.feed(data)
             reply = self.reader.gets()
--- a/saffrongw/resp.py
+++ b/saffrongw/resp.py
@@ -4,6 +4,7 @@
 
 import hiredis
 
+VALUE_MOST = 64 * 1024  # bytes in one value, as the protocol has it
 ARRAY_MOST = 1024  # values in one array
 LINE_MOST = 1024  # bytes of a line: a type, and a number or a short text
 CRLF = b"\r\n"
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -102,6 +102,20 @@
     assert await caller.replied() == [b"ok"]
 
 
+@pytest.mark.parametrize("junk", [b"*2147483647\r\n", b"*3\r\n$4000000000\r\n", b"HTTP/1.1 200 OK\r\n"])
+@asyncio_test
+async def test_an_answer_that_declares_what_none_holds_is_a_failed_attempt_at_once(junk):
+    hosts = [await FakeHost(name).listen() for name in "ab"]
+    replies = [junk, b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n"]
+    for host in hosts:
+        host.script = lambda command: replies.pop(0)
+    rig = Rig(*hosts)
+    caller = await rig.caller()
+    caller.call()
+    assert await caller.replied() == [b"ok"]
+    await until(lambda: rig.hosts.sockets == 1)  # the other connection is not used again
+
+
 @asyncio_test
 async def test_an_answer_that_never_comes_is_ended_before_the_client_gives_up():
     host = await FakeHost("a").listen()
