--- a/orchidlane/interface.py
+++ b/orchidlane/interface.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import ClassVar
 
 Server = bytes
@@ -42,6 +42,15 @@
     NEVER_SENT = "never sent"
 
 
+class Cause(enum.Enum):
+    """Why a request gets a final answer of ours; for counters only."""
+
+    QUOTA = "quota"  # no room in what its customer may spend
+    CEILING = "ceiling"  # no right left under its customer's ceiling
+    SLOW = "slow"  # no server is expected to answer in time
+    SPENT = "spent"  # its time or its attempts are used up
+
+
 class Phase(enum.Enum):
     """What discovery says of a server."""
 
@@ -284,6 +293,7 @@
 
     request: int
     retry_after: int
+    cause: Cause = field(default=Cause.SPENT, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -12,7 +12,7 @@
 
 from . import interface as api
 from . import messages
-from .interface import Effect, Group, ListKind, Outcome, Phase
+from .interface import Cause, Effect, Group, ListKind, Outcome, Phase
 from .state import Account, Attempt, Host, Memory, Request
 
 MS, SECOND = 1_000, 1_000_000  # microseconds
@@ -87,17 +87,17 @@
         if self.now >= last_call or len(request.attempts) >= self.s.max_attempts:
             return self._end(request)
         first = not request.attempts
-        if first and not self._admits(request):
-            return self._end(request)
+        if first and (cause := self._refusal(request)):
+            return self._end(request, cause)
         host = self._choose(request)
         if host is None:
             span = min(HOLD, last_call - self.now)
             return self.actions.append(api.SetTimer(span, request.event.request + 1))
         if first and self._expected(host, request.event.kind) > self._patience(request):
-            return self._end(request)
+            return self._end(request, Cause.SLOW)
         return self._send(request, host)
 
-    def _admits(self, request: Request) -> bool:
+    def _refusal(self, request: Request) -> Cause | None:
         """Quota, open cap and ceiling: the ordinary path of every first send."""
         event = request.event  # the entry is looked up anew: a held request may outlive an idle one
         account = self._account(event.customer, event.plan, event.set_first, event.set_size, trusted=True)
@@ -105,15 +105,15 @@
         self._lift(account)
         if plan.ceiling_rate and account.ceiling < event.units:
             self._tell_keeper(account, 0)
-            return False
+            return Cause.CEILING
         if plan.open:  # what others approved lately is taken to be out for as long as usual
             others = sum(self.now - at < self.usual[event.kind] for at in account.others)
             if account.out + others >= plan.open:
-                return False
+                return Cause.QUOTA
         room = account.room
         if account.fresh and self.rank in account.counts:  # unheard: a share, at least one request
             room = min(room, plan.burst / account.size - account.counts[self.rank][1])
-        return not plan.rate or (not account.closed and room >= event.units)
+        return Cause.QUOTA if plan.rate and (account.closed or room < event.units) else None
 
     def _patience(self, request: Request) -> float:
         """The longest expected answer time at which a request is let in: it must still be in time."""
@@ -189,13 +189,13 @@
             repeat = self.budget >= 0 and request.cls.effect is not Effect.UNSAFE
             (self._advance if repeat or not attempt.ran else self._end)(request)
 
-    def _end(self, request: Request) -> None:
+    def _end(self, request: Request, cause: Cause = Cause.SPENT) -> None:
         """Every final answer of ours passes here: refuse where a retry is harmless, else fail."""
         cls = request.cls
         ran, number = any(a.ran for a in request.attempts), request.event.request
         repeats = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
         wait = request.back_in(self.s.plans, REOPEN, min(SOON * cls.aim, self.s.max_retry_after))
-        self.actions.append(api.Refuse(number, wait) if repeats or not ran else api.Fail(number))
+        self.actions.append(api.Refuse(number, wait, cause) if repeats or not ran else api.Fail(number))
         self._drop(request)
 
     def _drop(self, request: Request) -> None:
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -243,7 +243,7 @@
 
     def _refuse(self, action: api.Refuse) -> None:
         if call := self.calls.get(action.request):
-            self.stats["refused"] += 1
+            self.stats["refused_" + action.cause.value] += 1
             wait = -(-action.retry_after // MS)  # a client that came back earlier would be refused again
             self._finish(call, b"-BUSY %d\r\n" % wait if wait else b"-BUSY\r\n")
 
