Fade the load a server was met under together with its slowness: idle servers were shunned

Evidence: counted by cause, one gateway refused 1277 requests as too slow in 5 s, the other 60 in the same 5 s, with 2 and 59 requests out. In the good stretch n1 sends all it has to one host with out 36 and typ 35, which looks three times faster than the idle ones.

Cause: the expected time is usual x slow x (out + BASE) / typical. A host that has not answered lately is taken to be as slow as all the others: its own slowness fades to the fleet's within FORGET. But the load that this slowness was met under did not fade with it, so the fleet's slowness under load 30 was held against an idle host as if met at load 2. First all requests crowd on the few hosts in use; once those fail, all hosts look too slow, nothing is sent, and nothing is learnt until the mark has faded, some 5 to 8 s.

Faulty lines: orchidlane/state.py, Known.marks and Host.typical; orchidlane/rules.py, _expected and _learn. The fleet now keeps its typical load as well, and a host's fades to it with the slowness.

Test: tests/test_servers.py, seen to fail with the change taken out.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -227,8 +227,8 @@
     def _expected(self, host: Host, kind: int) -> float:
         """The expected answer time: what requests met there, how the load changed, how long it is quiet."""
         fleet, _ = self.met.marks(self.now, FORGET)
-        slow, fails = host.marks(self.now, FORGET, fleet)  # not met lately: like all the others
-        time = self.usual[kind] * slow * (1 + FAIL_WEIGHT * fails) * (host.out + BASE) / host.typical
+        (slow, typical), fails = host.marks(self.now, FORGET, fleet)  # not met lately: like all the others
+        time = self.usual[kind] * slow * (1 + FAIL_WEIGHT * fails) * (host.out + BASE) / typical
         if host.out:  # guards against a stalling or dead server: it answers nobody
             time = max(time, self.now - host.active)
         return time
@@ -244,7 +244,7 @@
             # Guards against a jam of all servers, where a gateway meets each of them too seldom to learn.
             for known in (host, self.met):
                 known.slow += LEARN * (min(SLOW_MOST, event.took / self.usual[kind]) - known.slow)
-            host.typical += LEARN * (attempt.load - host.typical)
+                known.typical += LEARN * (attempt.load - known.typical)
             # Capped, so that in a jam an idle server still seems worth a try and the end of it is noticed.
             most = START_OF_AIM * self.s.classes[kind].aim
             self.usual[kind] = min(most, self.usual[kind] + LEARN / 5 * (event.took - self.usual[kind]))
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -56,16 +56,20 @@
 
     seen: int  # when it last taught us something
     slow: float = 1.0
+    typical: float = 2.0  # load that its answer times were met under
     fails: float = 0.0
 
-    def marks(self, now: int, fade_over: int, prior: float = 1.0) -> tuple[float, float]:
-        """How slow it is and how often it failed, each faded by the time since it taught us something."""
+    def marks(self, now: int, fade_over: int, prior=(1.0, 2.0)) -> tuple[tuple[float, float], float]:
+        """How slow it is, under which load, and how often it failed, each faded by the time since it taught
+        us something: slowness and load together, for one means nothing without the other."""
         fade = math.exp((self.seen - now) / fade_over)
-        return prior + (self.slow - prior) * fade, self.fails * fade
+        slow, typical = prior
+        faded = slow + (self.slow - slow) * fade, typical + (self.typical - typical) * fade
+        return faded, self.fails * fade
 
     def fade(self, now: int, fade_over: int) -> None:
         """Bring the marks up to now."""
-        (self.slow, self.fails), self.seen = self.marks(now, fade_over), now
+        ((self.slow, self.typical), self.fails), self.seen = self.marks(now, fade_over), now
 
 
 @dataclass(slots=True)
@@ -75,7 +79,6 @@
     entry: api.ServerEntry = field(kw_only=True)
     out: int = 0
     active: int = 0  # last answer, or when the first of those out was sent
-    typical: float = 2.0  # load that its answer times were met under
 
     def shares(self, group: api.Group) -> int:
         """What two servers have in common that drop each other's repeats."""
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -119,6 +119,20 @@
     assert not [a for a in bench.run(SECOND // 10) if isinstance(a, api.Refuse)]  # none was held first
 
 
+def test_an_idle_server_is_not_taken_to_be_as_slow_as_others_were_under_load():
+    """What all servers met under load was held against idle ones, which then got nothing (ticket9601)."""
+    bench = Bench(servers=1)
+    bench.gateway._patience = lambda request: float("inf")
+    held = [(r, of(bench.ask(r, customer=r), api.Send)[0].server) for r in range(1, 41)]
+    del bench.gateway._patience
+    bench.run(SECOND)
+    for request, server in held:
+        bench.outcome(request, server, Outcome.SERVED, took=SECOND)
+    bench.feed(listed(entry(9)))
+    bench.run(3 * SECOND)
+    assert [s.server for s in of(bench.ask(50, customer=50), api.Send)] == [entry(9).server]
+
+
 def test_an_idle_slow_kind_is_not_shed():
     """The usual answer time itself is no reason to refuse, however near to the aim it is."""
     bench = Bench(servers=1)
