Read the configuration again on SIGHUP and move the watch: the signal ended the program

Faulty lines: saffrongw/__main__.py, serve, which installs handlers for SIGTERM and SIGINT only, and saffrongw/discovery.py, whose watch keeps the address it was made with. The file is now read again, and the watch drops whatever it had under way with the old address (a call, a connection being made, a back-off) and fetches the whole list from the new one. A file that is unusable is logged, and the one before it holds; the start has the same answer now to settings of the wrong shape, which ended it with a trace.

Tests: tests/test_news.py, the signal on the real process (seen to fail with the change taken out) and the move from each state that a watch can be in.

--- a/saffrongw/__main__.py
+++ b/saffrongw/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import gc
 import logging
 import os
@@ -12,6 +13,8 @@
 
 import uvloop
 
+from orchidlane.wire import WireError
+
 from .clients import Clients
 from .config import Config, parse
 from .discovery import Watch
@@ -24,6 +27,26 @@
 CLIENT_PART = 0.5  # of the descriptors that are left
 
 
+UNUSABLE = (OSError, KeyError, ValueError, TypeError, AttributeError, WireError)
+log = logging.getLogger(__name__)
+
+
+def read_config() -> Config:
+    """The file that LB_CONFIG names, as it is now; raises one of UNUSABLE."""
+    return parse(Path(os.environ["LB_CONFIG"]).read_text())
+
+
+def reload(watch: Watch) -> None:
+    """SIGHUP: discovery may have moved; all else holds until the next start."""
+    try:
+        config = read_config()
+    except UNUSABLE as wrong:
+        log.error("no usable configuration after SIGHUP, the one before it holds: %r", wrong)
+        return
+    log.info("configuration read again: discovery at %s:%d", *config.discovery)
+    watch.move(config.discovery)
+
+
 async def serve(config: Config) -> None:
     """Run until SIGTERM or SIGINT."""
     loop = asyncio.get_running_loop()
@@ -45,7 +68,9 @@
             lambda: Peers(driver, config.peers, config.settings.rank), local_addr=config.peer_listen
         )
     driver.start(config.known)
-    Watch(loop, config.discovery, config.zones, driver.listed).start()
+    watch = Watch(loop, config.discovery, config.zones, driver.listed)
+    loop.add_signal_handler(signal.SIGHUP, functools.partial(reload, watch))
+    watch.start()
     clients = Clients(driver, config, client_sockets)
     driver.stats.start(loop, lambda: clients.gauges() | {"calls": len(driver.calls)} | driver.hosts.gauges())
     await clients.listen()
@@ -59,8 +84,8 @@
     """Read the configuration and serve; one plain line and 1 where it is wrong."""
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     try:
-        config = parse(Path(os.environ["LB_CONFIG"]).read_text())
-    except (OSError, KeyError, ValueError, TypeError) as wrong:
+        config = read_config()
+    except UNUSABLE as wrong:
         print(f"saffrongw: no usable configuration: {wrong!r}", file=sys.stderr)
         return 1
     uvloop.run(serve(config))
--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -83,11 +83,25 @@
         self.exchange: Exchange | None = None
         self.silence: asyncio.TimerHandle | None = None
         self.task: asyncio.Task | None = None
+        self.later: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Connect and begin."""
         self.task = self.loop.create_task(self._connect())
 
+    def move(self, address: Address) -> None:
+        """Discovery is at this address from now on: whatever goes on with another one is dropped."""
+        if address == self.address:
+            return
+        self.address, self.back_off = address, BACK_OFF
+        for pending in (self.task, self.later, self.silence):
+            if pending:
+                pending.cancel()
+        if self.exchange:
+            exchange, self.exchange = self.exchange, None
+            exchange.transport.abort()
+        self.start()
+
     async def _connect(self) -> None:
         try:
             async with asyncio.timeout(CONNECT_WITHIN):
@@ -97,7 +111,7 @@
                 self._later()
 
     def _later(self) -> None:
-        self.loop.call_later(self.back_off, self.start)
+        self.later = self.loop.call_later(self.back_off, self.start)
         self.back_off = min(BACK_OFF_MOST, 2 * self.back_off)
 
     def connected(self, exchange: Exchange) -> None:
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import json
+import os
+import signal
 import socket
+import sys
 
-from conftest import FakeHost, Rig, asyncio_test, until
+from conftest import SITE, FakeHost, Rig, asyncio_test, until
 
 from orchidlane import messages
 from saffrongw.config import parse_hosts
@@ -67,6 +70,71 @@
     assert agent.asked[:5] == ["/registry/instances"] * 5
 
 
+@asyncio_test
+async def test_a_watch_that_moves_leaves_the_old_address_in_whatever_state_it_is():
+    loop = asyncio.get_running_loop()
+    whole = {"seq": 5, "whole": True, "hosts": [line("a")]}
+
+    async def serving(agent: Agent) -> tuple[str, int]:
+        return (await loop.create_server(lambda: agent, "127.0.0.1", 0)).sockets[0].getsockname()[:2]
+
+    old = Agent([whole])
+    with socket.create_server(("127.0.0.1", 0)) as closed:
+        nobody = closed.getsockname()
+    states = {
+        "watching": (await serving(old), lambda watch: len(old.asked) == 2),
+        "backing off": (nobody, lambda watch: watch.later),
+        "connecting": (nobody, lambda watch: True),
+    }
+    for address, state in states.values():
+        new, told = Agent([whole]), []
+        watch = Watch(loop, address, ZONES, told.append)
+        watch.start()
+        await until(lambda watch=watch, state=state: state(watch))
+        place = await serving(new)
+        watch.move(place)
+        await until(lambda new=new: len(new.asked) == 2)
+        assert told[-1].version == 5
+        assert watch.exchange.transport.get_extra_info("peername") == place
+        watch.exchange.transport.abort()
+    await until(lambda: old.transport.is_closing())
+
+
+@asyncio_test
+async def test_sighup_moves_the_watch_and_an_unusable_file_changes_nothing(tmp_path):
+    loop = asyncio.get_running_loop()
+    agents = [Agent([{"seq": 5, "whole": True, "hosts": []}]) for _ in range(2)]
+    servers = [await loop.create_server(lambda agent=agent: agent, "127.0.0.1", 0) for agent in agents]
+    places = [f"127.0.0.1:{server.sockets[0].getsockname()[1]}" for server in servers]
+    text = {"name": "n0", "listen": "127.0.0.1:0", "discovery": places[0], "seed": "01"}
+    text |= {"limits": {"sockets": 128}, "settings": SITE}
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(text))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "saffrongw",
+        env=os.environ | {"LB_CONFIG": str(file)},
+        stderr=asyncio.subprocess.PIPE,
+    )
+    await until(lambda: len(agents[0].asked) == 2, within=30)
+    for unusable in (
+        "{",
+        json.dumps(text | {"settings": {}}),
+        json.dumps(text | {"settings": SITE | {"rules": 7}}),
+    ):
+        file.write_text(unusable)
+        process.send_signal(signal.SIGHUP)
+        while b"no usable configuration after SIGHUP" not in await process.stderr.readline():
+            assert process.returncode is None
+    file.write_text(json.dumps(text | {"discovery": places[1]}))
+    process.send_signal(signal.SIGHUP)
+    await until(lambda: len(agents[1].asked) == 2)
+    await until(lambda: agents[0].transport.is_closing())
+    process.send_signal(signal.SIGTERM)
+    assert await asyncio.wait_for(process.wait(), 10) == 0
+
+
 def test_an_odd_entry_is_left_out_and_the_others_stand():
     odd = [7, None, {}, line("x", health="ASLEEP"), line("x", block="b"), line("x", dial="nowhere")]
     listed = parse_hosts(
