Refuse only the connection that is too many, and evict the client idle longest

Evidence: 8319 requests took 403 connections of proper clients, each opened anew where 8 to 10 in use would do (calls 3 to 8). Idle connections of other peers fill the table; the one evicted is the one accepted first, which is as a rule a proper client's, in use for longest. Once over the limit, every request on every connection was answered -BUSY 1000, a second's wait, with 160 idle connections to close.

Ruled out: hosts' side (host_conns 27 to 37 of 168), CPU (0.5 s in 5 s), the quota (refusals there kept their number).

Tests: tests/test_gateway.py, two, and tests/test_resp.py; both of the former seen to fail without clients.py.

--- a/saffrongw/__main__.py
+++ b/saffrongw/__main__.py
@@ -24,7 +24,7 @@
 
 ACCEPT_FOR = 0.5  # seconds after SIGTERM in which new connections are still served
 SPARE = 48  # descriptors for all but clients and hosts: the loop, the watch, peers, logs
-CLIENT_PART = 0.5  # of the descriptors that are left
+CLIENT_PART = 1 / 3  # of all descriptors: clients may hold no more
 
 
 UNUSABLE = (OSError, KeyError, ValueError, TypeError, AttributeError, WireError)
@@ -53,13 +53,12 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    sockets = max(SPARE, config.sockets - SPARE)
-    client_sockets = int(CLIENT_PART * sockets)
+    client_sockets = int(CLIENT_PART * config.sockets)
     driver = Driver(config.settings, config.seed, loop)
     driver.hosts = Hosts(
         driver,
         config.settings.report_names,
-        sockets - client_sockets,
+        max(1, config.sockets - SPARE - client_sockets),
         config.idle_close,
         config.connect_timeout,
     )
--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -92,12 +92,13 @@
         self.slots: deque[Slot] = deque()
         self.unfinished = 0  # bytes since the last whole command
         self.closing = False  # close once all is answered
+        self.surplus = False  # there is no room for it
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """A client has connected."""
         self.transport = transport
-        self.clients.opened(self)
+        self.surplus = not self.clients.opened(self)
 
     def pause_writing(self) -> None:
         """Guards memory: a client that reads no answers is not read from either."""
@@ -142,9 +143,11 @@
         except Malformed as wrong:
             self.clients.driver.stats["client_malformed"] += 1
             return self._reply(b"-ERR %b\r\n" % str(wrong).encode())
-        if self.clients.crowded():  # guards the limit on descriptors: it has not run, and there is no room
+        if self.surplus:  # guards the limit on descriptors: it has not run
+            self.closing = True
             self.clients.driver.stats["refused_crowded"] += 1
             return self._reply(b"-BUSY 1000\r\n")
+        self.clients.used(self)
         slot = Slot(self)
         self.slots.append(slot)
         slot.call = self.clients.driver.arrived(terms, parts, slot.answer)
@@ -163,7 +166,7 @@
 
     def close_if_idle(self) -> None:
         """Close between two requests, if it shall be closed."""
-        if not self.slots and (self.closing or (self.clients.draining and not self.unfinished)):
+        if not self.slots and (self.closing or (self.clients.draining and self.reader.between)):
             self.transport.close()
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -180,7 +183,7 @@
 
     def __init__(self, driver: Driver, config: Config, most: int) -> None:
         self.driver, self.config, self.most = driver, config, most
-        self.open: dict[Client, None] = {}
+        self.open: dict[Client, None] = {}  # the one whose last request is longest ago comes first
         self.draining = False
         self.server: asyncio.Server | None = None
 
@@ -190,29 +193,31 @@
             lambda: Client(self), *self.config.listen, backlog=self.most
         )
 
-    def opened(self, client: Client) -> None:
-        """One more; beyond the limit the one that is idle makes room."""
+    def opened(self, client: Client) -> bool:
+        """One more, if need be in the place of the one idle longest; False: there is no room."""
         self.driver.stats["client_accepted"] += 1
-        if self.crowded(extra=1):
-            for other in self.open:
-                if not other.slots and not other.unfinished:
-                    self.driver.stats["client_evicted"] += 1
-                    other.transport.close()
-                    break
+        if len(self.open) >= self.most:
+            idle = next((c for c in self.open if not c.slots and c.reader.between), None)
+            if idle:
+                self.driver.stats["client_evicted"] += 1
+                del self.open[idle]  # at once: more may come before its end is told
+                idle.transport.close()
         self.open[client] = None
+        return len(self.open) <= self.most
 
-    def crowded(self, extra: int = 0) -> bool:
-        """Whether there are more connections than descriptors were set aside for."""
-        return len(self.open) + extra > self.most
+    def used(self, client: Client) -> None:
+        """It has sent a request: the last to make room."""
+        self.open.pop(client, None)
+        self.open[client] = None
 
     def gauges(self) -> dict[str, int]:
         """Connections by what they are doing."""
         return {
             "client_conns": len(self.open),
             "client_conns_most": self.most,
-            "client_idle": sum(not c.slots and not c.unfinished for c in self.open),
+            "client_idle": sum(not c.slots and c.reader.between for c in self.open),
             "client_slots": sum(len(c.slots) for c in self.open),
-            "client_unfinished": sum(c.unfinished > 0 for c in self.open),
+            "client_unfinished": sum(not c.reader.between for c in self.open),
             "client_unfinished_bytes": sum(c.unfinished for c in self.open),
         }
 
--- a/saffrongw/resp.py
+++ b/saffrongw/resp.py
@@ -22,8 +22,14 @@
         self.text_most = text_most
         self.line = b""  # of the head that has not ended yet
         self.skip = 0  # bytes of a text still to come
+        self.owed = 0  # values still to come before the one that has begun is whole
         self.wrong = ""
 
+    @property
+    def between(self) -> bool:
+        """Whether all that came are whole values; of a part the parser may have nothing left to show."""
+        return not (self.owed or self.skip or self.line)
+
     def feed(self, data: bytes) -> None:
         """Take bytes in, up to the first head that is out of bounds."""
         at = 0
@@ -57,6 +63,7 @@
         kind, number = line[:1], line[1 : -len(CRLF)]
         if not line.endswith(CRLF):
             return "malformed line"
+        self.owed = max(self.owed, 1) - 1  # the value that this line begins
         if kind in (b"*", b"$"):
             if not number.isdigit() and number != b"-1":
                 return "malformed length"
@@ -65,6 +72,8 @@
                 return "array or value too long"
             if kind == b"$" and number != b"-1":
                 self.skip = int(number) + len(CRLF)
+            elif number != b"-1":
+                self.owed += int(number)
         elif kind not in (b"+", b"-", b":"):
             return "not a RESP2 value"
         return self._too_long(line)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -319,6 +319,49 @@
     assert sorted(error(reply).split()[0] for reply in replies) == ["BUSY"] * 5 + ["ERR"] * 4
 
 
+@asyncio_test
+async def test_the_client_idle_longest_makes_room_and_only_the_one_too_many_is_refused():
+    """Each request of all clients was refused while one connection was too many (ticket9204)."""
+    host = await FakeHost("a").listen()
+    rig = Rig(host)
+    rig.clients.most = 3
+    first, second, third = [await rig.caller() for _ in range(3)]
+    await until(lambda: len(rig.clients.open) == 3)
+    for caller in (second, third, first):  # the first was the last to ask
+        caller.call()
+        await caller.replied()
+    more = [await rig.caller() for _ in range(2)]  # both come before an end is told
+    await until(lambda: second.closed and third.closed)
+    assert not first.closed
+    host.script = lambda command: None
+    for caller in (first, *more):
+        caller.call("bill")
+    await until(lambda: len(host.commands) == 6)
+    surplus = await rig.caller()
+    surplus.call()
+    assert error((await surplus.replied())[0]) == "BUSY 1000"
+    await until(lambda: surplus.closed)
+    host.script = lambda command: b"*1\r\n$2\r\nok\r\n"
+    first.call(number=b"id2")
+    await until(lambda: len(host.commands) == 7)
+
+
+@asyncio_test
+async def test_a_client_within_a_command_does_not_make_room():
+    """Of a command cut right after a head nothing is left in the parser."""
+    rig = Rig(await FakeHost("a").listen())
+    rig.clients.most = 1
+    caller = await rig.caller()
+    words = hiredis.pack_command((b"PING",))
+    caller.transport.write(words + words[:4])
+    await caller.replied()
+    other = await rig.caller()
+    other.call()
+    assert error((await other.replied())[0]) == "BUSY 1000"
+    caller.transport.write(words[4:])
+    assert await caller.replied(2) == [b"PONG", b"PONG"]
+
+
 @asyncio_test
 async def test_a_fault_of_the_decisions_fails_one_request_and_no_more():
     host = await FakeHost("a").listen()
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -31,6 +31,13 @@
     assert read(GOOD[i : i + 1] for i in range(len(GOOD))) == (VALUES, False)
 
 
+def test_it_knows_where_a_value_ends():
+    reader = Reader(100)
+    ends = [i for i in range(len(GOOD)) if (reader.feed(GOOD[i : i + 1]), reader.between)[1]]
+    command = len(hiredis.pack_command((b"A", b"*999999999\r\n$1\r\n", b"")))
+    assert ends == [command - 1, len(GOOD) - len(b"+ok\r\n") - 1, len(GOOD) - 1]
+
+
 @pytest.mark.parametrize(
     "bad",
     [
