Close who connects and sends nothing, or part of a command, within two seconds and a half

Faulty lines: saffrongw/clients.py, which has no limit of time but at SIGTERM. A connection without a request open is now closed when its first command, or the rest of one, is 2 s overdue; only what is still missing at a second look counts, so that after a stall what lies in the socket is read first. A silent one is closed without a word, since a word could be taken for the answer to a request on its way; then the client asks again.

Tests: tests/test_gateway.py, two; the first seen to fail without the look.

--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -17,6 +17,8 @@
 
 UNFINISHED_MOST = 5 * VALUE_MOST  # bytes of one command: more means that its framing is lost
 ID_MOST = 64  # bytes of a request's id
+WHOLE_WITHIN = 2.0  # seconds for a first command, or for the rest of one
+LOOK_EVERY = 0.2  # seconds between two looks at what is overdue
 UNFINISHED_FOR = 1.0  # seconds that a client stuck within a command may hold up the end
 CUSTOMER_BITS = 33
 WAIT_MOST = 3_600_000  # ms
@@ -93,6 +95,10 @@
         self.unfinished = 0  # bytes since the last whole command
         self.closing = False  # close once all is answered
         self.surplus = False  # there is no room for it
+        self.waits_since = (
+            clients.driver.loop.time()
+        )  # for a first command, or for the rest of one; 0: for none
+        self.overdue = False
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -113,18 +119,37 @@
         if self.closing:
             return
         self.unfinished += len(data)
+        whole = False
         self.clients.driver.stats["client_bytes_in"] += len(data)
         try:
             self.reader.feed(data)
             while (command := self.reader.gets()) is not False:
-                self.unfinished = 0
+                self.unfinished, whole = 0, True
                 self._command(command)
             if self.unfinished > UNFINISHED_MOST:
                 raise hiredis.ProtocolError("command too long")
+            if self.reader.between:
+                self.waits_since = 0.0
+            elif whole or not self.waits_since:
+                self.waits_since = self.clients.driver.loop.time()
         except hiredis.ProtocolError as wrong:  # where the next command starts is lost
-            self.closing = True
             self.clients.driver.stats["client_protocol_error"] += 1
-            self._reply(b"-ERR %b\r\n" % " ".join(str(wrong).split()).encode(errors="replace"))
+            self._end(" ".join(str(wrong).split()))
+
+    def look(self, before: float) -> None:
+        """Closes a connection on which nothing proper has come for too long. What came while we stood still
+        is read between two looks, so it takes two of them."""
+        due, self.overdue = self.overdue, 0 < self.waits_since < before and not self.slots
+        if due and self.overdue:
+            self.clients.driver.stats["client_overdue"] += 1
+            if self.reader.between:
+                self.transport.close()  # no word, which would be taken for the answer to a request on its way
+            else:
+                self._end("no whole command in time")
+
+    def _end(self, why: str) -> None:
+        self.closing = True
+        self._reply(b"-ERR %b\r\n" % why.encode(errors="replace"))
 
     def _command(self, command: object) -> None:
         if not isinstance(command, list) or not command or not all(isinstance(v, bytes) for v in command):
@@ -192,6 +217,14 @@
         self.server = await self.driver.loop.create_server(
             lambda: Client(self), *self.config.listen, backlog=self.most
         )
+        self._look()
+
+    def _look(self) -> None:
+        """Who connects and sends nothing, or part of a command, is owed a close: its place is wanted."""
+        before = self.driver.loop.time() - WHOLE_WITHIN
+        for client in list(self.open):
+            client.look(before)
+        self.driver.loop.call_later(LOOK_EVERY, self._look)
 
     def opened(self, client: Client) -> bool:
         """One more, if need be in the place of the one idle longest; False: there is no room."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -14,6 +14,7 @@
 from conftest import SITE, Caller, FakeHost, Rig, asyncio_test, until
 
 from orchidlane import interface as api
+from saffrongw.clients import LOOK_EVERY, WHOLE_WITHIN
 
 
 def error(reply) -> str:
@@ -346,6 +347,43 @@
     await until(lambda: len(host.commands) == 7)
 
 
+@asyncio_test
+async def test_who_sends_nothing_or_part_of_a_command_is_closed_and_who_asks_properly_is_kept():
+    host = await FakeHost("a").listen()
+    host.script = lambda command: None
+    rig = Rig(host)
+    silent, partial, dripping, idle, waiting = [await rig.caller() for _ in range(5)]
+    begun = rig.loop.time()
+    words = hiredis.pack_command((b"PING",))
+    idle.transport.write(words)
+    waiting.call("bill", wait=10_000)
+    partial.transport.write(words + words[:6])
+    for byte in hiredis.pack_command((b"CALL.GET", b"0" * 100)):
+        dripping.transport.write(bytes((byte,)))
+        await asyncio.sleep(0.05)
+        if dripping.transport.is_closing() or dripping.closed:
+            break
+    await until(lambda: silent.closed and partial.closed and dripping.closed)
+    assert rig.loop.time() - begun < 3.0 + 3.0  # the three seconds owed, and as much for a busy machine
+    assert silent.replies == []
+    assert error(partial.replies[1]) == error(dripping.replies[0])
+    await asyncio.sleep(3 * LOOK_EVERY)
+    assert not idle.closed and not waiting.closed
+
+
+@asyncio_test
+async def test_what_came_while_the_gateway_stood_still_is_read_before_its_sender_is_overdue():
+    rig = Rig(await FakeHost("a").listen())
+    caller = await rig.caller()
+    (client,) = rig.clients.open
+    client.waits_since -= 10 * WHOLE_WITHIN
+    caller.ask(b"PING")
+    client.look(rig.loop.time() - WHOLE_WITHIN)
+    assert await caller.replied() == [b"PONG"]
+    client.look(rig.loop.time() - WHOLE_WITHIN)
+    assert not client.closing
+
+
 @asyncio_test
 async def test_a_client_within_a_command_does_not_make_room():
     """Of a command cut right after a head nothing is left in the parser."""
