Drop the part left to silent gateways: it cut rate and burst for seconds after each restart

Evidence: printed by kind for one run, refusals by the quota while unheard >= 0.25 are none before the restarts and nearly all after them (closed_unheard 17 to 61 in 0.3 s). unheard stood at 0.4 to 0.98 in all gateways though never more than one of four was down: only a keeper that was not heard for 200 ms is asked, so those asked are mostly the silent ones, and what is measured is not the silent part of the fleet. At 0.98 a customer of four gateways had a quarter of its rate and of its burst, and what it did not gain in those seconds was lost to it.

Cause: orchidlane/rules.py, _lift and _answer_due. DESIGN: "Silent peers get no rule." A gateway that is down spends nothing; what one that is cut off may spend beyond the quota is the price that the design names. For ceilings nothing changes: each gateway fills its own part. Without peer messages a gateway keeps to its share.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -28,8 +28,6 @@
 ANSWER_WITHIN = 200 * MS  # a keeper not heard for so long is asked to answer as soon; else the next is told
 KEEPER_STRIDE = 2_654_435_761  # spreads customers over the gateways of their sets
 KEEPERS = 3  # gateways of a set that are tried
-HEAR = 0.1  # weight of the newest answer or silence in the part of the fleet that is unheard
-UNHEARD_LEAST = 0.25  # below it silence is what loss and restarts explain
 
 # Servers
 BASE = 2.0  # requests a server is taken to hold besides those known: keeps first guesses level
@@ -58,7 +56,7 @@
         self.s, self.random, self.now, self.filled = settings, random.Random(seed), now, now
         self.rank, self.alone = settings.rank, not settings.may_tell_peers
         self.usual = [START_OF_AIM * c.aim for c in settings.classes]
-        self.budget, self.unheard = REPEAT_MOST, 0.0
+        self.budget = REPEAT_MOST
         self.allowance = self.per_second = INTAKE_SHARE * settings.peer_intake
 
     def start(self) -> list[api.Action]:
@@ -272,9 +270,10 @@
         part = self._ceiling_part(account)
         gained = plan.ceiling_rate * part * span / SECOND
         account.ceiling = min(plan.ceiling_burst * part, account.ceiling + gained)
-        unheard = 1.0 if self.alone else self.unheard
-        share = 1 - unheard * (account.size - 1) / account.size if unheard >= UNHEARD_LEAST else 1.0
-        burst = plan.burst * share  # what unheard gateways may spend is left to them
+        share = (
+            1 / account.size if self.alone else 1.0
+        )  # silent peers get no rule: most are down, not cut off
+        burst = plan.burst * share
         # Debt: what went beyond the quota took nothing from the true store, so the limit never lies below.
         limit = max(account.total, account.limit + plan.rate * share * span / SECOND)
         account.limit = min(limit, account.total + burst)
@@ -316,7 +315,7 @@
         """Every approval is told to one gateway of the set, which adds them up; the next one stands in."""
         rank = self._keeper(account, number)
         if number >= min(KEEPERS, account.size):
-            account.fresh = False  # nobody answers: the part of those unheard is left to them instead
+            account.fresh = False  # nobody answers: it is not kept to its first share for good
             return
         if rank != self.rank:
             self._lift(account)
@@ -336,7 +335,6 @@
         if self.now - at > 2 * ANSWER_WITHIN:  # we stood still ourselves: nothing is known of the other
             return
         silent = self.heard.get(rank, -1) < at
-        self.unheard += HEAR * (silent - self.unheard)
         if silent and number >= 0 and (account := self.accounts.get(customer)):
             self._tell_keeper(account, number + 1)
 
