Answer a term d of thousands of digits like any malformed term: it closed the connection

PROTOCOL and TERMS, Peers: what is no proper request is owed an error line. int() raises on more than 4300 digits; for d that was outside the part of saffrongw/clients.py, parse, which turns it into an answer, so the error left data_received, the loop closed the connection with a trace, and all requests open on it were lost. Test: one more malformed command, seen to fail with the change taken out.

--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -45,6 +45,8 @@
         if kind is None or plan is None:
             raise Malformed("unknown class or plan")
         wait, units = terms[b"d"], float(terms[b"units"])
+        if not wait.isdigit() or not 0 < int(wait) <= WAIT_MOST:
+            raise Malformed("term d is out of range")
         spread, first = int(terms[b"spread"]), int(terms[b"first"])
     except KeyError as missing:
         raise Malformed(f"term {missing.args[0].decode()} is missing") from None
@@ -55,8 +57,6 @@
         raise Malformed("this class is served by the other command")
     if effect is Effect.KEYED and not terms.get(b"k"):
         raise Malformed("term k is missing")
-    if not wait.isdigit() or not 0 < int(wait) <= WAIT_MOST:
-        raise Malformed("term d is out of range")
     if not math.isfinite(units) or not 0 < units <= config.units_most:
         raise Malformed("term units is out of range")
     if not 1 <= spread <= gateways or not 0 <= first < gateways:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -232,6 +232,12 @@
         [b"CALL.GET", b"0000000000000007", b"id", b"c=bill,t=team,d=99,units=1,spread=2,first=0"],
         [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=team,d=99,d=9,units=1,spread=2,first=0"],
         [b"CALL.GET", b"0000000000000007", b"id", b"c=read;;;"],
+        [
+            b"CALL.GET",
+            b"0000000000000007",
+            b"id",
+            b"c=read,t=team,units=1,spread=2,first=0,d=" + b"9" * 5000,  # more digits than int() takes
+        ],
         [b"CALL.POST", b"0000000000000007", b"id", b"c=put,t=team,d=99,units=1,spread=2,first=0", b"B"],
         [
             b"CALL.POST",
