--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -20,6 +20,7 @@
 
 log = logging.getLogger(__name__)
 
+ANSWER_MOST = 2 * VALUE_MOST  # bytes of a whole answer: a value, figures and a report
 IDLE_PART = 0.6  # of the hosts' idle limit: ours are closed clearly earlier, so none meets a closing one
 SWEEPS = 10  # looks at idle connections in that time
 MS = 1_000
@@ -52,6 +53,7 @@
         self.transport: asyncio.Transport | None = None
         self.reader = Reader(VALUE_MOST)
         self.attempt: Attempt | None = None
+        self.received = 0  # bytes of the answer
         self.idle_since = 0.0
         self.counted = False
 
@@ -63,7 +65,7 @@
 
     def begin(self, attempt: Attempt, now: int) -> None:
         """Write an attempt's request."""
-        self.attempt, attempt.link = attempt, self
+        self.attempt, attempt.link, self.received = attempt, self, 0
         self.transport.write(pack_request(attempt, now))
         attempt.whole = not self.transport.get_write_buffer_size() and not self.transport.is_closing()
 
@@ -78,10 +80,13 @@
     def data_received(self, data: bytes) -> None:
         """The answer, or a part of it."""
         self.pool.hosts.driver.stats["host_bytes_in"] += len(data)
+        self.received += len(data)
         try:
             self.reader.feed(data)
             reply = self.reader.gets()
             odd = reply is not False and self.reader.has_data()
+            if reply is False and self.received > ANSWER_MOST:
+                raise hiredis.ProtocolError("answer too long")
         except hiredis.ProtocolError:
             reply, odd = None, True
         attempt = self.attempt
