Bound what one client, and all together, can make the gateway hold

Found by reading, three ways past it, each a client's doing: behind one open request the answers to all that is pipelined wait in memory, and the write buffer that pauses reading stays empty; a client that never reads its answers kept its connection and what was written to it for good; each connection may hold 320 kB of an unfinished command (a proper one needs little more than its body), so that 85 of them hold 27 MB.

Faulty lines: saffrongw/clients.py, data_received and pause_writing. No more than 64 requests are open on a connection now, the rest stays unread in the socket; who reads nothing for 10 s is cut off; a command has 128 KiB, all unfinished ones together 4 MiB, and who goes beyond gets an error line and a close.

Tests: tests/test_gateway.py, three, each seen to fail with its bound taken out.

--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -15,7 +15,10 @@
 from .driver import Call, Driver, Terms
 from .resp import VALUE_MOST, Reader
 
-UNFINISHED_MOST = 5 * VALUE_MOST  # bytes of one command: more means that its framing is lost
+UNFINISHED_MOST = 2 * VALUE_MOST  # bytes of one command: a body and little else
+UNFINISHED_ALL = 64 * VALUE_MOST  # bytes of all clients' unfinished commands, to bound memory
+PIPELINE_MOST = 64  # requests open on one connection: no more is read from it meanwhile
+UNREAD_FOR = 10.0  # seconds that a client may leave its answers unread
 ID_MOST = 64  # bytes of a request's id
 WHOLE_WITHIN = 2.0  # seconds for a first command, or for the rest of one
 LOOK_EVERY = 0.2  # seconds between two looks at what is overdue
@@ -95,10 +98,11 @@
         self.unfinished = 0  # bytes since the last whole command
         self.closing = False  # close once all is answered
         self.surplus = False  # there is no room for it
-        self.waits_since = (
-            clients.driver.loop.time()
-        )  # for a first command, or for the rest of one; 0: for none
+        # Since when it waits for a first command, or for the rest of one; 0: for none.
+        self.waits_since = clients.driver.loop.time()
         self.overdue = False
+        self.unread_since = 0.0  # since when the client takes no answers; 0: it does
+        self.held = False  # no more is read for now
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -108,26 +112,52 @@
 
     def pause_writing(self) -> None:
         """Guards memory: a client that reads no answers is not read from either."""
-        self.transport.pause_reading()
+        self.unread_since = self.clients.driver.loop.time()
+        self._hold()
 
     def resume_writing(self) -> None:
         """The client reads again."""
-        self.transport.resume_reading()
+        self.unread_since = 0.0
+        self._go_on()
+
+    def _full(self) -> bool:
+        return self.unread_since > 0 or len(self.slots) >= PIPELINE_MOST
+
+    def _hold(self) -> None:
+        if not self.held:
+            self.held = True
+            self.transport.pause_reading()
+
+    def _go_on(self) -> None:
+        if self.held and not self._full() and not self.transport.is_closing():
+            self.held = False
+            self.transport.resume_reading()
+            self._read()
 
     def data_received(self, data: bytes) -> None:
         """Commands, or parts of them."""
         if self.closing:
             return
         self.unfinished += len(data)
-        whole = False
         self.clients.driver.stats["client_bytes_in"] += len(data)
+        self.reader.feed(data)
+        self._read()
+
+    def _read(self) -> None:
+        """Carry out what has come whole, as long as there is room for its answers."""
+        whole = False
         try:
-            self.reader.feed(data)
-            while (command := self.reader.gets()) is not False:
+            while not self.closing:
+                if self._full():
+                    return self._hold()
+                if (command := self.reader.gets()) is False:
+                    break
                 self.unfinished, whole = 0, True
                 self._command(command)
             if self.unfinished > UNFINISHED_MOST:
                 raise hiredis.ProtocolError("command too long")
+            if self.unfinished and self.clients.unfinished() > UNFINISHED_ALL:
+                raise hiredis.ProtocolError("too much is unfinished")
             if self.reader.between:
                 self.waits_since = 0.0
             elif whole or not self.waits_since:
@@ -135,10 +165,14 @@
         except hiredis.ProtocolError as wrong:  # where the next command starts is lost
             self.clients.driver.stats["client_protocol_error"] += 1
             self._end(" ".join(str(wrong).split()))
+        return None
 
     def look(self, before: float) -> None:
         """Closes a connection on which nothing proper has come for too long. What came while we stood still
         is read between two looks, so it takes two of them."""
+        if 0 < self.unread_since < before - (UNREAD_FOR - WHOLE_WITHIN):
+            self.clients.driver.stats["client_unread"] += 1
+            self.transport.abort()  # a close would wait for the client
         due, self.overdue = self.overdue, 0 < self.waits_since < before and not self.slots
         if due and self.overdue:
             self.clients.driver.stats["client_overdue"] += 1
@@ -187,6 +221,7 @@
         """Write the answers whose turn has come."""
         while self.slots and self.slots[0].reply is not None:
             self.transport.write(self.slots.popleft().reply)
+        self._go_on()
         self.close_if_idle()
 
     def close_if_idle(self) -> None:
@@ -230,7 +265,9 @@
         """One more, if need be in the place of the one idle longest; False: there is no room."""
         self.driver.stats["client_accepted"] += 1
         if len(self.open) >= self.most:
-            idle = next((c for c in self.open if not c.slots and c.reader.between), None)
+            idle = next(
+                (c for c in self.open if not c.slots and not c.unread_since and c.reader.between), None
+            )
             if idle:
                 self.driver.stats["client_evicted"] += 1
                 del self.open[idle]  # at once: more may come before its end is told
@@ -243,6 +280,10 @@
         self.open.pop(client, None)
         self.open[client] = None
 
+    def unfinished(self) -> int:
+        """Bytes of commands that have not come whole."""
+        return sum(client.unfinished for client in self.open)
+
     def gauges(self) -> dict[str, int]:
         """Connections by what they are doing."""
         return {
@@ -251,7 +292,7 @@
             "client_idle": sum(not c.slots and c.reader.between for c in self.open),
             "client_slots": sum(len(c.slots) for c in self.open),
             "client_unfinished": sum(not c.reader.between for c in self.open),
-            "client_unfinished_bytes": sum(c.unfinished for c in self.open),
+            "client_unfinished_bytes": self.unfinished(),
         }
 
     async def drain(self, accept_for: float) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -14,7 +14,7 @@
 from conftest import SITE, Caller, FakeHost, Rig, asyncio_test, until
 
 from orchidlane import interface as api
-from saffrongw.clients import LOOK_EVERY, WHOLE_WITHIN
+from saffrongw.clients import LOOK_EVERY, PIPELINE_MOST, UNFINISHED_ALL, UNREAD_FOR, WHOLE_WITHIN
 
 
 def error(reply) -> str:
@@ -398,6 +398,52 @@
     assert not client.closing
 
 
+@asyncio_test
+async def test_no_more_is_read_while_many_requests_are_open_on_a_connection():
+    """Behind one open request the answers to all that followed piled up without end."""
+    host = await FakeHost("a").listen()
+    host.script = lambda command: None
+    rig = Rig(host)
+    caller = await rig.caller()
+    caller.call(number=b"first", wait=30_000)
+    pings = 200_000
+    caller.transport.write(hiredis.pack_command((b"PING",)) * pings)
+    await until(lambda: any(client.held for client in rig.clients.open))
+    (client,) = rig.clients.open
+    for _ in range(20):
+        await asyncio.sleep(0.01)
+        assert len(client.slots) <= PIPELINE_MOST
+    host.connections[0].transport.write(b"*1\r\n$2\r\nok\r\n")
+    replies = await caller.replied(pings + 1)
+    assert replies == [b"ok"] + [b"PONG"] * pings
+
+
+@asyncio_test
+async def test_a_client_that_never_reads_its_answers_is_closed():
+    rig = Rig(await FakeHost("a").listen())
+    caller = await rig.caller()
+    caller.transport.pause_reading()
+    await until(lambda: rig.clients.open)
+    (client,) = rig.clients.open
+    while not client.unread_since:
+        caller.transport.write(hiredis.pack_command((b"PING",)) * 20_000)
+        await asyncio.sleep(0)
+    client.unread_since -= UNREAD_FOR
+    await until(lambda: not rig.clients.open)
+
+
+@asyncio_test
+async def test_what_all_clients_leave_unfinished_is_bounded():
+    rig = Rig(await FakeHost("a").listen(), sockets=256)
+    rig.clients._look = lambda: None  # none is closed for taking too long
+    callers = [await rig.caller() for _ in range(80)]
+    for caller in callers:
+        caller.transport.write(b"*5\r\n$65536\r\n" + b"x" * 60_000)
+    await until(lambda: sum(caller.closed for caller in callers) >= 80 - UNFINISHED_ALL // 60_000)
+    assert rig.clients.unfinished() <= UNFINISHED_ALL
+    assert not all(caller.closed for caller in callers)
+
+
 @asyncio_test
 async def test_a_client_within_a_command_does_not_make_room():
     """Of a command cut right after a head nothing is left in the parser."""
