Send nothing new to a host once it drains: attempts that wait for a connection go elsewhere

WIRE, rule 3: no send later than drainGrace after the word. An attempt whose connection was still being made when the word came was written as soon as the connection was up: up to connectTimeout (250 ms) later, as long as the grace itself. Found by reading. Faulty lines: saffrongw/hosts.py, Pool.ready and retire, Hosts.told, which leave Pool.waiting alone. What waits is now given back and ends as not connected, which proves that it never ran, after the module has the list. Test: tests/test_gateway.py, draining and deleted, both seen to fail with the change taken out.

--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -78,8 +78,8 @@
     def give_up(self, attempt: Attempt) -> None:
         """Stop waiting for an attempt."""
 
-    def told(self, listed: HostList) -> None:
-        """Discovery's list has changed."""
+    def told(self, listed: HostList) -> list[Attempt]:
+        """Discovery's list has changed; the attempts that must not be sent any more."""
 
 
 class Clock:
@@ -180,8 +180,10 @@
         kind = api.ListKind.WHOLE if listed.whole else api.ListKind.CHANGES
         if cached:
             kind = api.ListKind.CACHED
-        self.hosts.told(listed)
+        unsent = self.hosts.told(listed)
         self.feed(api.ServerListed(kind, listed.version, tuple(host.entry for host in listed.hosts)))
+        for attempt in unsent:  # after the list, which tells where else they may go
+            self.attempt_ended(attempt, api.Outcome.NOT_CONNECTED)
 
     def peer_said(self, sender: int, body: bytes) -> None:
         """A datagram of another gateway."""
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -177,10 +177,16 @@
         while self.idle and self.idle[0].idle_since <= before:
             self.idle[0].abort()
 
-    def retire(self) -> None:
-        """Nothing more is sent there: what is out may end."""
+    def stop_waiting(self) -> list[Attempt]:
+        """Nothing new is sent there: what waits for a connection has never left."""
+        waiting, self.waiting = list(self.waiting), deque()
+        return waiting
+
+    def retire(self) -> list[Attempt]:
+        """Nothing more is sent there: what is out may end, what still waits is given back."""
         self.retired = True
         self.close_idle(float("inf"))
+        return self.stop_waiting()
 
 
 class Hosts:
@@ -201,19 +207,24 @@
         self.pools: dict[api.Server, Pool] = {}
         self._sweep()
 
-    def told(self, listed: HostList) -> None:
-        """Follow discovery: idle connections to hosts that are gone or moved are closed."""
+    def told(self, listed: HostList) -> list[Attempt]:
+        """Follow discovery: idle connections to hosts that are gone or moved are closed. Guards rule 3: gives
+        back the attempts that would else be sent once their connection to a draining host is up."""
+        unsent = []
         if listed.whole:
             named = {host.entry.server for host in listed.hosts}
             for server in [server for server in self.pools if server not in named]:
-                self.pools.pop(server).retire()
+                unsent += self.pools.pop(server).retire()
         for host in listed.hosts:
             pool = self.pools.get(host.entry.server)
             gone = host.entry.phase is api.Phase.GONE
             if pool and (gone or pool.address != host.address):
-                self.pools.pop(host.entry.server).retire()
+                unsent += self.pools.pop(host.entry.server).retire()
+            elif pool and host.entry.phase is api.Phase.DRAINING:
+                unsent += pool.stop_waiting()
             if not gone and host.entry.server not in self.pools:
                 self.pools[host.entry.server] = Pool(self, host.address)
+        return unsent
 
     def send(self, attempt: Attempt) -> None:
         """Begin an attempt."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -311,6 +311,35 @@
     await until(lambda: not old.connections)
 
 
+@pytest.mark.parametrize("health", ["DRAINING", "DELETED"])
+@asyncio_test
+async def test_what_waits_for_a_connection_to_a_host_that_drains_goes_elsewhere(health):
+    """It was sent there once the connection came up, however long after the word."""
+    old, new = [await FakeHost(name).listen() for name in "ab"]
+    rig = Rig(old)
+    caller = await rig.caller()
+    gate, opening = asyncio.Event(), rig.loop.create_connection
+
+    class SlowLoop:
+        async def create_connection(self, factory, host, port):
+            if port == old.port:
+                await gate.wait()
+            return await opening(factory, host, port)
+
+        def __getattr__(self, name):
+            return getattr(rig.loop, name)
+
+    rig.hosts.loop = SlowLoop()
+    caller.call("bill")
+    await until(lambda: rig.hosts.pools[b"a"].waiting)
+    rig.told(old.line(health), new.line())
+    gate.set()
+    assert await caller.replied() == [b"ok"]
+    assert len(new.commands) == 1
+    await until(lambda: len(old.connections) == (health == "DRAINING"))
+    assert old.commands == []
+
+
 @asyncio_test
 async def test_idle_connections_are_closed_well_before_the_hosts_limit():
     host = await FakeHost("a").listen()
