Leave out a host entry whose number is infinite, as any other odd entry

JSON's Infinity for born_ms or block raises OverflowError, which saffrongw/config.py, parse_hosts, did not count among what makes an entry odd: the whole list was lost, again with each new call. Found by reading; test: tests/test_news.py, one more odd entry, seen to fail with the change taken out.

--- a/saffrongw/config.py
+++ b/saffrongw/config.py
@@ -76,7 +76,7 @@
                 size=float(line["share"]),
             )
             hosts.append(HostEntry(entry, address(line["dial"])))
-        except (KeyError, TypeError, ValueError, AttributeError):
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
             odd += 1
     return HostList(int(raw["seq"]), bool(raw["whole"]), tuple(hosts), odd)
 
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -136,7 +136,15 @@
 
 
 def test_an_odd_entry_is_left_out_and_the_others_stand():
-    odd = [7, None, {}, line("x", health="ASLEEP"), line("x", block="b"), line("x", dial="nowhere")]
+    odd = [
+        7,
+        None,
+        {},
+        line("x", health="ASLEEP"),
+        line("x", block="b"),
+        line("x", dial="nowhere"),
+        line("x", born_ms=float("inf")),
+    ]
     listed = parse_hosts(
         {"seq": 1, "whole": True, "hosts": [*odd, line("a", site="hall-b", born_ms=12)]}, ZONES
     )
