Count a list after which the agent closes its connection

HTTP/1.1 allows Connection: close on any answer; PROTOCOL says no more of discovery than that it is HTTP/1.1. saffrongw/discovery.py asked h11 for a next cycle before it passed the list on: that raised, the list was lost, and so was each one after it. Found by reading; test: tests/test_news.py, seen to fail with the change taken out.

--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -52,8 +52,13 @@
                     if self.status != 200:
                         raise ValueError(f"discovery answered {self.status}")
                     listed = self.watch.parse(body)
-                    self.http.start_next_cycle()
-                    self.watch.answered(listed)
+                    again = self.http.their_state is h11.DONE  # else the agent closes after this answer
+                    if again:
+                        self.http.start_next_cycle()
+                    self.watch.answered(listed, again)
+                    if not again:
+                        self.transport.abort()
+                        break
                 elif isinstance(event, h11.ConnectionClosed):
                     break
         except (ValueError, KeyError, TypeError, AttributeError, h11.ProtocolError) as wrong:
@@ -123,11 +128,12 @@
         """An answer as a list; raises where it is none."""
         return parse_hosts(json.loads(body), self.zones)
 
-    def answered(self, listed: HostList) -> None:
-        """Call again at once, then pass on what was told."""
+    def answered(self, listed: HostList, again: bool) -> None:
+        """Call again at once where the connection is kept, then pass on what was told."""
         self.back_off = BACK_OFF
-        target = f"{PATH}?index={listed.version}&wait={int(self.wait * 1000)}"
-        self._call(target, self.wait + self.answer_within)
+        if again:
+            target = f"{PATH}?index={listed.version}&wait={int(self.wait * 1000)}"
+            self._call(target, self.wait + self.answer_within)
         if listed.odd:
             log.warning("discovery: %d odd entries left out", listed.odd)
         if listed.whole or listed.hosts:
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -135,6 +135,19 @@
     assert await asyncio.wait_for(process.wait(), 10) == 0
 
 
+@asyncio_test
+async def test_an_answer_after_which_the_agent_closes_counts():
+    body = json.dumps({"seq": 5, "whole": True, "hosts": [line("a")]}).encode()
+    head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n" % len(body)
+    loop, told, agent = asyncio.get_running_loop(), [], Agent([])
+    agent.data_received = lambda data: agent.transport.write(head + body)
+    server = await loop.create_server(lambda: agent, "127.0.0.1", 0)
+    Watch(loop, server.sockets[0].getsockname()[:2], ZONES, told.append).start()
+    await until(lambda: len(told) >= 2)
+    assert {listed.version for listed in told} == {5}
+    assert agent.connections >= 2
+
+
 def test_an_odd_entry_is_left_out_and_the_others_stand():
     odd = [
         7,
