Drop full idle accounts that no other gateway told of: their number grew with the customers

In orchidlane/rules.py, _drop_idle kept every account that is still fresh, that is, which no peer has told of: all customers of one gateway alone, and all whose first request was refused for slowness, since nobody is told of those. A full account says nothing either way: what it spent has been refilled. Found by reading.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -446,7 +446,7 @@
             self._lift(account := self.accounts[customer])
             plan = self.s.plans[account.plan]
             full = account.ceiling >= plan.ceiling_burst / account.size and account.room >= plan.burst
-            if account.out or account.fresh or not full:
+            if account.out or not full:
                 self.idle_queue.append(customer)
                 continue
             del self.accounts[customer]
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -238,6 +238,19 @@
     bench.run(SECOND)
 
 
+def test_customers_that_nobody_else_tells_of_are_dropped_too():
+    """One-off customers of one gateway, and those refused at their first request, were kept for good."""
+    bench = Bench()
+    for i in range(1, 301):
+        let_in(bench, 1, start=i, customer=1_000 + i, size=1)
+        bench.run(100_000)
+    bench.gateway._patience = lambda request: 0.0
+    for i in range(301, 601):
+        assert let_in(bench, 1, start=i, customer=1_000 + i) == 0
+        bench.run(100_000)
+    assert len(bench.gateway.accounts) < 60
+
+
 # Sets of any size
 
 
