Forget servers that are gone: each release left its old machines in memory for good

A machine that replaces another has a new name, and a release replaces up to 99% of them; orchidlane/state.py, apply_list, set the phase of those gone and kept them, their marks with them. Found by reading. Requests that were sent there keep what they need of it.

--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -184,10 +184,12 @@
         if event.kind is not api.ListKind.CHANGES:
             told = {entry.server for entry in event.entries}
             for server in [s for s in self.hosts if s not in told]:
-                self._take_out(self.hosts[server])
-                self.hosts[server].entry = replace(self.hosts[server].entry, phase=api.Phase.GONE)
+                self._forget(server)
         fresh = []
         for entry in event.entries:
+            if entry.phase is api.Phase.GONE:
+                self._forget(entry.server)
+                continue
             host = self.hosts.get(entry.server)
             anew = host is None or entry.launched > host.entry.launched
             was_ready = host is not None and host.entry.phase is api.Phase.READY
@@ -217,6 +219,12 @@
         pools = self.cells if group is api.Group.CELL else self.zones
         return pools[host.shares(group)].hosts
 
+    def _forget(self, server: api.Server) -> None:
+        """It is gone: a machine that replaces it has another name, so it would be kept for good."""
+        if host := self.hosts.pop(server, None):
+            self._take_out(host)
+            host.entry = replace(host.entry, phase=api.Phase.GONE)  # for requests that were sent to it
+
     def _take_out(self, host: Host) -> None:
         for pool in (self.warm, self.cold, self.cells.get(host.entry.cell), self.zones.get(host.entry.zone)):
             if pool is not None:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -159,6 +159,19 @@
     assert stalled not in others
 
 
+def test_servers_that_are_gone_are_forgotten():
+    """Each release replaces all machines by others with new names; the old ones were kept for good."""
+    bench = Bench(servers=0)
+    for number in range(200):
+        kind = api.ListKind.WHOLE if number % 2 else api.ListKind.CHANGES
+        bench.feed(listed(entry(number, launched=bench.now), kind=kind))
+        bench.run(SECOND)
+        bench.ask(number + 1, customer=number)
+        bench.feed(listed(entry(number, phase=api.Phase.GONE), kind=api.ListKind.CHANGES))
+    assert bench.gateway.hosts == {}
+    assert len(bench.gateway.warming) <= 11  # those listed within the time that warming takes
+
+
 def test_the_few_servers_that_can_serve_are_found_among_many_cold_ones():
     """A sample of a mostly cold fleet held requests though a warm server was free (incident)."""
     bench = Bench(servers=0)
