--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -82,6 +82,8 @@
     def _advance(self, request: Request) -> None:
         """The next step of a request that is owed an answer."""
         last_call = request.until - LEAVE
+        if not any(a.ran for a in request.attempts):  # kept in vain past half of its time it would cost more
+            last_call = min(last_call, request.until - request.event.time_left // 2)
         if self.now >= last_call or len(request.attempts) >= self.s.max_attempts:
             return self._end(request)
         first = not request.attempts
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -31,6 +31,16 @@
     assert finals(bench, 1) == [api.Refuse(1, 0)]
 
 
+def test_a_request_that_no_server_took_is_given_up_at_half_of_its_time():
+    """The client may still ask elsewhere; held to the end it could not (PROTOCOL, Figures)."""
+    bench = Bench(servers=0)
+    bench.ask(1, left=SECOND)
+    bench.run(SECOND // 2 - 1)
+    assert finals(bench, 1) == []
+    bench.run(1)
+    assert finals(bench, 1) == [api.Refuse(1, 0)]
+
+
 def test_a_held_request_goes_out_when_a_server_comes():
     bench = Bench(servers=0)
     bench.ask(1)
