Close connections far beyond the clients' limit at once

Found by reading. Faulty lines: saffrongw/clients.py, connection_made. Sixteen still get a word, more are closed; one that came as too many is served if there is room by the time it asks. Test: tests/test_gateway.py, seen to fail with the change taken out.

--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -18,6 +18,7 @@
 UNFINISHED_MOST = 2 * VALUE_MOST  # bytes of one command: a body and little else
 UNFINISHED_ALL = 64 * VALUE_MOST  # bytes of all clients' unfinished commands, to bound memory
 PIPELINE_MOST = 64  # requests open on one connection: no more is read from it meanwhile
+SURPLUS_MOST = 16  # connections beyond the limit that still get a word: more are closed at once
 UNREAD_FOR = 10.0  # seconds that a client may leave its answers unread
 ID_MOST = 64  # bytes of a request's id
 WHOLE_WITHIN = 2.0  # seconds for a first command, or for the rest of one
@@ -108,7 +109,10 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """A client has connected."""
         self.transport = transport
-        self.surplus = not self.clients.opened(self)
+        over = self.clients.opened(self)
+        self.surplus = over > 0
+        if over > SURPLUS_MOST:  # guards the descriptors that hosts and discovery need
+            transport.abort()
 
     def pause_writing(self) -> None:
         """Guards memory: a client that reads no answers is not read from either."""
@@ -202,7 +206,7 @@
         except Malformed as wrong:
             self.clients.driver.stats["client_malformed"] += 1
             return self._reply(b"-ERR %b\r\n" % str(wrong).encode())
-        if self.surplus:  # guards the limit on descriptors: it has not run
+        if self.surplus and len(self.clients.open) > self.clients.most:  # guards descriptors: it has not run
             self.closing = True
             self.clients.driver.stats["refused_crowded"] += 1
             return self._reply(b"-BUSY 1000\r\n")
@@ -261,8 +265,8 @@
             client.look(before)
         self.driver.loop.call_later(LOOK_EVERY, self._look)
 
-    def opened(self, client: Client) -> bool:
-        """One more, if need be in the place of the one idle longest; False: there is no room."""
+    def opened(self, client: Client) -> int:
+        """One more, if need be in the place of the one idle longest; how many there are beyond the limit."""
         self.driver.stats["client_accepted"] += 1
         if len(self.open) >= self.most:
             idle = next(
@@ -273,7 +277,7 @@
                 del self.open[idle]  # at once: more may come before its end is told
                 idle.transport.close()
         self.open[client] = None
-        return len(self.open) <= self.most
+        return len(self.open) - self.most
 
     def used(self, client: Client) -> None:
         """It has sent a request: the last to make room."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -14,7 +14,14 @@
 from conftest import SITE, Caller, FakeHost, Rig, asyncio_test, until
 
 from orchidlane import interface as api
-from saffrongw.clients import LOOK_EVERY, PIPELINE_MOST, UNFINISHED_ALL, UNREAD_FOR, WHOLE_WITHIN
+from saffrongw.clients import (
+    LOOK_EVERY,
+    PIPELINE_MOST,
+    SURPLUS_MOST,
+    UNFINISHED_ALL,
+    UNREAD_FOR,
+    WHOLE_WITHIN,
+)
 
 
 def error(reply) -> str:
@@ -427,6 +434,27 @@
     assert not client.closing
 
 
+@asyncio_test
+async def test_connections_far_beyond_the_limit_are_closed_at_once():
+    """Each within a command took a descriptor for two seconds, also from those that hosts need."""
+    host = await FakeHost("a").listen()
+    host.script = lambda command: None
+    rig = Rig(host)
+    rig.clients.most = 1
+    holder = await rig.caller()
+    holder.call("bill", wait=10_000)
+    await until(lambda: host.commands)
+    rig.clients._look = lambda: None  # none is closed for its silence
+    more = []
+    for number in range(SURPLUS_MOST + 5):
+        more.append(await rig.caller())
+        more[-1].transport.write(b"*1\r\n")
+        await until(lambda number=number: more[-1].closed or rig.clients.unfinished() == 4 * (number + 1))
+    assert [caller.closed for caller in more] == [False] * SURPLUS_MOST + [True] * 5
+    assert len(rig.clients.open) == 1 + SURPLUS_MOST
+    assert not holder.closed
+
+
 @asyncio_test
 async def test_no_more_is_read_while_many_requests_are_open_on_a_connection():
     """Behind one open request the answers to all that followed piled up without end."""
