Try an idle server now and then in a jam: a gateway that refused all stayed locked for seconds

Evidence: one gateway refused 604 and 741 requests as too slow in 5 s each with calls=0, host_conns falling to 0 and no attempt but four; its peers had 3 to 22 calls out in the same time. Printed, each refusal shows eight hosts with nothing out and expected times of 178 to 500 ms against a patience of 152 ms, for 8 s on end: marks of 2 to 4 that only fade (FORGET, 3 s), as nothing is sent that could teach better, while attempts of long ago that time out each raise the fleet's mark anew (3.15 to 3.72 at 12.4 s, with nothing else out).

Cause: orchidlane/rules.py, _advance, refuses by the expected time alone. _learn says that "in a jam an idle server still seems worth a try and the end of it is noticed", and caps the usual time to that end, but the slowness mark lifts the expected time of an idle server over the patience all the same. One request each quarter of the aim (START_OF_AIM, the time an idle server is first thought to need) now goes to a server with nothing of ours out, however slow it looks.

Ruled out: quota (refused_quota falls in the bad stretch), connections (attempt_full 2 to 3, not_connected 3 to 4 in 5 s), CPU (0.2 s in the worst second), memory, the load marks mended before (typ 2 to 5 for all alike).

Test: tests/test_servers.py, seen to fail with the change taken out.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -56,7 +56,7 @@
         self.s, self.random, self.now, self.filled = settings, random.Random(seed), now, now
         self.rank, self.alone = settings.rank, not settings.may_tell_peers
         self.usual = [START_OF_AIM * c.aim for c in settings.classes]
-        self.budget = REPEAT_MOST
+        self.budget, self.next_try = REPEAT_MOST, 0.0
         self.allowance = self.per_second = INTAKE_SHARE * settings.peer_intake
 
     def start(self) -> list[api.Action]:
@@ -81,9 +81,8 @@
 
     def _advance(self, request: Request) -> None:
         """The next step of a request that is owed an answer."""
-        last_call = request.until - LEAVE
-        if not any(a.ran for a in request.attempts):  # kept in vain past half of its time it would cost more
-            last_call = min(last_call, request.until - request.event.time_left // 2)
+        half = 0 if any(a.ran for a in request.attempts) else request.event.time_left // 2
+        last_call = request.until - max(LEAVE, half)  # kept in vain past half of its time it would cost more
         if self.now >= last_call or len(request.attempts) >= self.s.max_attempts:
             return self._end(request)
         first = not request.attempts
@@ -94,7 +93,9 @@
             span = min(HOLD, last_call - self.now)
             return self.actions.append(api.SetTimer(span, request.event.request + 1))
         if first and self._expected(host, request.event.kind) > self._patience(request):
-            return self._end(request, Cause.SLOW)
+            if host.out or self.now < self.next_try:
+                return self._end(request, Cause.SLOW)
+            self.next_try = self.now + START_OF_AIM * request.cls.aim  # who sends nothing learns nothing
         return self._send(request, host)
 
     def _refusal(self, request: Request) -> Cause | None:
@@ -336,8 +337,7 @@
         at, rank, customer, number = self.asked.popleft()
         if self.now - at > 2 * ANSWER_WITHIN:  # we stood still ourselves: nothing is known of the other
             return
-        silent = self.heard.get(rank, -1) < at
-        if silent and number >= 0 and (account := self.accounts.get(customer)):
+        if self.heard.get(rank, -1) < at and number >= 0 and (account := self.accounts.get(customer)):
             self._tell_keeper(account, number + 1)
 
     def _keep(self, account: Account) -> None:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -27,6 +27,21 @@
     assert sum(serve(bench, r, lambda _: 20_000) is not None for r in range(200, 240)) > 30
 
 
+def test_a_gateway_that_refuses_all_tries_an_idle_server_now_and_then():
+    """It learnt nothing while it sent nothing, and refused all for seconds after the jam (incident)."""
+    bench = Bench(servers=3)
+    for request in range(1, 200):
+        serve(bench, request, lambda _: 3 * SECOND)
+    tried = []
+    for request in range(200, 300):
+        tried += [send.request for send in of(bench.ask(request, customer=request), api.Send)]
+        bench.run(10_000)
+    assert 1 <= len(tried) <= 3  # one for each server: no answer comes, none is idle
+    for request in tried:
+        bench.outcome(request, bench.gateway.attempts[request, 0][0].host.entry.server, Outcome.SERVED)
+    assert sum(serve(bench, r, lambda _: 20_000) is not None for r in range(300, 400)) > 20
+
+
 def test_a_jam_of_the_whole_fleet_is_noticed_by_a_gateway_that_meets_each_server_seldom():
     """Each of many gateways met each server once in many seconds, learnt nothing, let all in (incident)."""
     bench = Bench(servers=200)
