Let a watch call wait 2 s, not 20: one that hung left all gateways without news for 22 s

Evidence: printed each turn, the list of hosts is the same eight warm ones in all four gateways from 1.1 s to 22.5, 23.1, 23.1 and 23.2 s, though discovery changed it 18 times from 6.9 s on; then all changes come at once. 22 s is WAIT + ANSWER_WITHIN after the start: the call that waits was never answered, and only its own time-out led to a new connection, which was answered at once. Meanwhile traffic went to fewer and fewer old hosts, and none to their successors. Nothing of it shows in the log, for a quiet agent is as silent as a hung one until the wait is over.

Faulty lines: saffrongw/discovery.py, WAIT and ANSWER_WITHIN.

Test: tests/test_news.py, seen to fail with the change taken out.

--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -14,8 +14,8 @@
 log = logging.getLogger(__name__)
 
 PATH = "/registry/instances"
-WAIT = 20.0  # seconds that a call may wait for news
-ANSWER_WITHIN = 2.0  # seconds beyond that: a silent agent is tried anew
+WAIT = 2.0  # seconds that a call may wait for news: until then nothing tells a quiet agent from a hung one
+ANSWER_WITHIN = 1.0  # seconds beyond that: a silent agent is tried anew
 BACK_OFF, BACK_OFF_MOST = 0.05, 1.0  # seconds before connecting again, doubled with each failure
 CONNECT_WITHIN = 1.0
 
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -135,6 +135,16 @@
     assert await asyncio.wait_for(process.wait(), 10) == 0
 
 
+@asyncio_test
+async def test_an_agent_that_hangs_in_a_watch_is_called_anew_within_seconds():
+    """For 22 s nothing was heard of a release: the call that waits was never answered (r9442fa)."""
+    whole = {"seq": 5, "whole": True, "hosts": [line("a")]}
+    agent, told = await watched([whole, None, whole | {"seq": 9}])
+    await until(lambda: len(told) == 2)
+    assert [listed.version for listed in told] == [5, 9]
+    assert agent.connections == 2
+
+
 @asyncio_test
 async def test_an_answer_after_which_the_agent_closes_counts():
     body = json.dumps({"seq": 5, "whole": True, "hosts": [line("a")]}).encode()
