--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -2,7 +2,7 @@
 
 A request's life: arrived -> admitted by its customer's counts -> sent to the server that should answer
 soonest -> outcome -> perhaps another attempt -> exactly one final answer. Every send passes ``_send``, every
-answer of ours ``_end``. Quotas are grow-only counts by gateway, spread by gossip; see docs/design.md.
+answer of ours ``_end``. Quotas are grow-only counts by gateway, spread by gossip.
 """
 
 from __future__ import annotations
