Answer operators: HEALTH, LEAVE and JOIN, one readiness, a drain between requests

Cause: nobody listened at the operators' address, and PING knew no no.

The tests fail with the part taken out: without the PING and the drain each of them hangs or sees +PONG.

--- a/saffrongw/__main__.py
+++ b/saffrongw/__main__.py
@@ -17,13 +17,14 @@
 
 from .clients import Clients
 from .config import Config, parse
+from .control import Control
 from .discovery import Watch
 from .driver import Driver
 from .hosts import Hosts
 from .peers import Peers
 
 ACCEPT_FOR = 0.5  # seconds after SIGTERM in which new connections are still served
-SPARE = 48  # descriptors for all but clients and hosts: the loop, the watch, peers, logs
+SPARE = 48  # descriptors for all but clients and hosts: the loop, the watch, peers, logs, operators
 CLIENT_PART = 1 / 3  # of all descriptors: clients may hold no more
 
 
@@ -72,6 +73,8 @@
     watch.start()
     clients = Clients(driver, config, client_sockets)
     driver.stats.start(loop, lambda: clients.gauges() | {"calls": len(driver.calls)} | driver.hosts.gauges())
+    control = Control(driver, clients)
+    await control.listen(config.control)
     await clients.listen()
     gc.collect()
     gc.freeze()  # what is loaded by now stays: it need not be looked through again
--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -24,6 +24,9 @@
 WHOLE_WITHIN = 2.0  # seconds for a first command, or for the rest of one
 LOOK_EVERY = 0.2  # seconds between two looks at what is overdue
 UNFINISHED_FOR = 1.0  # seconds that a client stuck within a command may hold up the end
+SEEN_WITHIN = 0.6  # seconds after which the front has seen that we leave, and sends no new connections
+TAKEN_FOR = 1.8  # seconds after which one that leaves takes no request any more
+FIRST_WITHIN = 0.3  # seconds that a new connection has for its first command while others are closed
 CUSTOMER_BITS = 33
 WAIT_MOST = 3_600_000  # ms
 MS = 1_000
@@ -197,7 +200,8 @@
         if command[0] in (b"CALL.GET", b"CALL.POST"):
             return self._call(command)
         if command[0].upper() == b"PING" and len(command) == 1:
-            return self._reply(b"+PONG\r\n")
+            why_not = self.clients.driver.readiness.why_not
+            return self._reply(b"-ERR %b\r\n" % why_not.encode() if why_not else b"+PONG\r\n")
         return self._reply(b"-ERR unknown command\r\n")
 
     def _call(self, command: list[bytes]) -> None:
@@ -210,6 +214,9 @@
             self.closing = True
             self.clients.driver.stats["refused_crowded"] += 1
             return self._reply(b"-BUSY 1000\r\n")
+        if self.clients.finishing:
+            self.clients.driver.stats["refused_leaving"] += 1
+            return self._reply(b"-BUSY\r\n")
         self.clients.used(self)
         slot = Slot(self)
         self.slots.append(slot)
@@ -231,7 +238,9 @@
     def close_if_idle(self) -> None:
         """Close between two requests, if it shall be closed."""
         if not self.slots and (self.closing or (self.clients.draining and self.reader.between)):
-            self.transport.close()
+            new = self.waits_since > self.clients.driver.loop.time() - FIRST_WITHIN
+            if self.closing or not new:  # the first command of a new one is on its way
+                self.transport.close()
 
     def connection_lost(self, error: Exception | None) -> None:
         """The client has gone away, and with it all that it waited for."""
@@ -248,7 +257,9 @@
     def __init__(self, driver: Driver, config: Config, most: int) -> None:
         self.driver, self.config, self.most = driver, config, most
         self.open: dict[Client, None] = {}  # the one whose last request is longest ago comes first
-        self.draining = False
+        self.draining = False  # connections are closed between requests
+        self.finishing = False  # and no request is taken any more
+        self.leaving: list[asyncio.TimerHandle] = []  # the steps of a drain still to come
         self.server: asyncio.Server | None = None
 
     async def listen(self) -> None:
@@ -256,6 +267,7 @@
         self.server = await self.driver.loop.create_server(
             lambda: Client(self), *self.config.listen, backlog=self.most
         )
+        self.driver.readiness.serving = True
         self._look()
 
     def _look(self) -> None:
@@ -263,8 +275,35 @@
         before = self.driver.loop.time() - WHOLE_WITHIN
         for client in list(self.open):
             client.look(before)
+            client.close_if_idle()
         self.driver.loop.call_later(LOOK_EVERY, self._look)
 
+    def leave(self) -> None:
+        """Say no from now on, and once the front has seen that, close connections between requests."""
+        if self.driver.readiness.left or self.driver.readiness.ending:
+            return
+        self.driver.readiness.left = True
+        later = self.driver.loop.call_later
+        self.leaving = [later(SEEN_WITHIN, self._close_between), later(TAKEN_FOR, self._take_no_more)]
+
+    def join(self) -> str:
+        """Back to work, at whatever step the drain was; what is said to the operator."""
+        if self.driver.readiness.ending:
+            return "error ending"
+        for step in self.leaving:
+            step.cancel()
+        self.driver.readiness.left = self.draining = self.finishing = False
+        return "done joined"
+
+    def _close_between(self) -> None:
+        self.draining = True
+        for client in list(self.open):
+            client.close_if_idle()
+
+    def _take_no_more(self) -> None:
+        """Whoever was within a command all the time: its request would hold the connection too long."""
+        self.finishing = True
+
     def opened(self, client: Client) -> int:
         """One more, if need be in the place of the one idle longest; how many there are beyond the limit."""
         self.driver.stats["client_accepted"] += 1
@@ -301,9 +340,9 @@
 
     async def drain(self, accept_for: float) -> None:
         """Close connections as they fall idle, go on accepting for a while, then finish what is held."""
-        self.draining = True
-        for client in list(self.open):
-            client.close_if_idle()
+        self.join()
+        self.driver.readiness.ending = True
+        self._close_between()
         await asyncio.sleep(accept_for)
         self.server.close()
         end = self.driver.loop.time() + UNFINISHED_FOR
--- a/saffrongw/config.py
+++ b/saffrongw/config.py
@@ -41,6 +41,7 @@
     discovery: Address
     seed: int
     sockets: int
+    control: Address | None  # where operators call
     peer_listen: Address | None
     peers: tuple[Address, ...]
     known: HostList
@@ -93,6 +94,7 @@
         discovery=address(raw["discovery"]),
         seed=int(raw["seed"], 16),
         sockets=int(raw["limits"]["sockets"]),
+        control=address(raw["control"]) if raw.get("control") else None,
         peer_listen=address(raw["peer_listen"]) if peers and raw.get("peer_listen") else None,
         peers=tuple(address(peer) for peer in peers),
         known=parse_hosts(raw.get("known") or {"seq": 0, "whole": True, "hosts": ()}, zones),
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -17,6 +17,7 @@
 from orchidlane.rules import Gateway
 
 from .config import HostList
+from .readiness import Readiness
 from .stats import Stats
 
 log = logging.getLogger(__name__)
@@ -102,6 +103,7 @@
         self.tell_peer: Callable[[int, bytes], None] = lambda rank, body: None
         self.calls: dict[int, Call] = {}
         self.stats = Stats()
+        self.readiness = Readiness()
         self.last_number = 0
         self.pending: deque[api.Event] = deque()
         self.feeding = False
@@ -181,6 +183,7 @@
         if cached:
             kind = api.ListKind.CACHED
         unsent = self.hosts.told(listed)
+        self.readiness.listed |= any(host.entry.phase is not api.Phase.GONE for host in listed.hosts)
         self.feed(api.ServerListed(kind, listed.version, tuple(host.entry for host in listed.hosts)))
         for attempt in unsent:  # after the list, which tells where else they may go
             self.attempt_ended(attempt, api.Outcome.NOT_CONNECTED)
