Hand over to the next process: listener, peers' socket, state, and one owner of the counts

Ruled out: that the second queue of SO_REUSEPORT would do (closing the old one resets what waits in it).

--- a/orchidlane/interface.py
+++ b/orchidlane/interface.py
@@ -193,6 +193,18 @@
     report: tuple[float, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptElsewhere:
+    """The process before this one has an attempt out, its units spent; its end is told like any other's."""
+
+    topic: ClassVar[str] = "attempt_elsewhere"
+
+    arrived: RequestArrived
+    attempt: int
+    server: Server
+    sent: int
+
+
 @dataclass(frozen=True, slots=True)
 class StreamStarted:
     """A streamed answer has begun: no deadline runs any more."""
@@ -261,6 +273,7 @@
     ServerListed
     | RequestArrived
     | AttemptEnded
+    | AttemptElsewhere
     | StreamStarted
     | ClientGone
     | TimerFired
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -190,6 +190,19 @@
             repeat = self.budget >= 0 and request.cls.effect is not Effect.UNSAFE
             (self._advance if repeat or not attempt.ran else self._end)(request)
 
+    def _attempt_elsewhere(self, event: api.AttemptElsewhere) -> None:
+        """Load, open units and what it teaches count here; the process before this one owes the answer."""
+        if host := self.hosts.get(event.server):
+            of = event.arrived
+            account = self._account(of.customer, of.plan, of.set_first, of.set_size, trusted=True)
+            attempt = Attempt(host, event.sent, host.out + BASE)
+            self.attempts[of.request, event.attempt] = (
+                attempt,
+                Request(of, self.s.classes[of.kind], 0, 0, account),
+            )
+            host.out += 1
+            account.out += 1
+
     def _end(self, request: Request, cause: Cause = Cause.SPENT) -> None:
         """Every final answer of ours passes here: refuse where a retry is harmless, else fail."""
         cls = request.cls
@@ -273,9 +286,7 @@
         part = self._ceiling_part(account)
         gained = plan.ceiling_rate * part * span / SECOND
         account.ceiling = min(plan.ceiling_burst * part, account.ceiling + gained)
-        share = (
-            1 / account.size if self.alone else 1.0
-        )  # silent peers get no rule: most are down, not cut off
+        share = 1 / account.size if self.alone else 1.0  # a silent peer gets no rule: most are down
         burst = plan.burst * share
         # Debt: what went beyond the quota took nothing from the true store, so the limit never lies below.
         limit = max(account.total, account.limit + plan.rate * share * span / SECOND)
--- a/saffrongw/__main__.py
+++ b/saffrongw/__main__.py
@@ -15,8 +15,9 @@
 
 from orchidlane.wire import WireError
 
+from . import upgrade
 from .clients import Clients
-from .config import Config, parse
+from .config import Config, HostList, parse
 from .control import Control
 from .discovery import Watch
 from .driver import Driver
@@ -49,36 +50,59 @@
 
 
 async def serve(config: Config) -> None:
-    """Run until SIGTERM or SIGINT."""
+    """Run until SIGTERM or SIGINT, or until the next process has taken over and nothing is left."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    where = upgrade.path(config)
+    elder = upgrade.find(where, config)
     client_sockets = int(CLIENT_PART * config.sockets)
+    host_sockets = max(1, config.sockets - SPARE - client_sockets)
     driver = Driver(config.settings, config.seed, loop)
     driver.hosts = Hosts(
         driver,
         config.settings.report_names,
-        max(1, config.sockets - SPARE - client_sockets),
+        host_sockets,
         config.idle_close,
         config.connect_timeout,
     )
-    if config.peer_listen and config.settings.may_tell_peers:
-        await loop.create_datagram_endpoint(
-            lambda: Peers(driver, config.peers, config.settings.rank), local_addr=config.peer_listen
-        )
     driver.start(config.known)
-    watch = Watch(loop, config.discovery, config.zones, driver.listed)
+    told = asyncio.Event()
+
+    def listed(hosts: HostList) -> None:
+        driver.listed(hosts)
+        told.set()
+
+    watch = Watch(loop, config.discovery, config.zones, listed)
     loop.add_signal_handler(signal.SIGHUP, functools.partial(reload, watch))
     watch.start()
     clients = Clients(driver, config, client_sockets)
-    driver.stats.start(loop, lambda: clients.gauges() | {"calls": len(driver.calls)} | driver.hosts.gauges())
     control = Control(driver, clients)
-    await control.listen(config.control)
-    await clients.listen()
+    binding = loop.create_task(control.listen(config.control)) if config.control else None
+    taken = elder is not None and await elder.take(driver, told)
+    peers = None
+    if config.peer_listen and config.settings.may_tell_peers:
+        peers = Peers(driver, config.peers, config.settings.rank)
+        await peers.listen((elder and elder.peers) or config.peer_listen)
+    driver.stats.start(loop, lambda: clients.gauges() | {"calls": len(driver.calls)} | driver.hosts.gauges())
+    await clients.listen(elder and elder.listener)
+    if taken:
+
+        def share(its_clients: int, its_hosts: int) -> None:
+            clients.most = max(1, client_sockets - its_clients)
+            driver.hosts.most = max(1, host_sockets - its_hosts)
+
+        elder.share = share
+        elder.hear(control)
+    control.elder = elder
+    control.seat = upgrade.Seat(driver, clients, peers, control, stop)
+    control.seat.listen(where)
     gc.collect()
     gc.freeze()  # what is loaded by now stays: it need not be looked through again
     await stop.wait()
+    if binding:
+        binding.cancel()
     await clients.drain(ACCEPT_FOR)
 
 
--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import re
+import socket
 from collections import deque
 
 import hiredis
@@ -200,7 +201,7 @@
         if command[0] in (b"CALL.GET", b"CALL.POST"):
             return self._call(command)
         if command[0].upper() == b"PING" and len(command) == 1:
-            why_not = self.clients.driver.readiness.why_not
+            why_not = self.clients.driver.readiness.why_not_here
             return self._reply(b"-ERR %b\r\n" % why_not.encode() if why_not else b"+PONG\r\n")
         return self._reply(b"-ERR unknown command\r\n")
 
@@ -262,11 +263,13 @@
         self.leaving: list[asyncio.TimerHandle] = []  # the steps of a drain still to come
         self.server: asyncio.Server | None = None
 
-    async def listen(self) -> None:
-        """Serve from now on."""
-        self.server = await self.driver.loop.create_server(
-            lambda: Client(self), *self.config.listen, backlog=self.most
-        )
+    async def listen(self, sock: socket.socket | None = None) -> None:
+        """Serve from now on, on the listening socket of the process before this one if it gave it."""
+        if sock:
+            where = {"sock": sock}
+        else:  # shared: a process that hangs may still hold it
+            where = {"host": self.config.listen[0], "port": self.config.listen[1], "reuse_port": True}
+        self.server = await self.driver.loop.create_server(lambda: Client(self), backlog=self.most, **where)
         self.driver.readiness.serving = True
         self._look()
 
@@ -295,6 +298,12 @@
         self.driver.readiness.left = self.draining = self.finishing = False
         return "done joined"
 
+    def hand_on(self) -> None:
+        """The next process accepts: close connections between requests."""
+        self.join()
+        self.server.close()
+        self._close_between()
+
     def _close_between(self) -> None:
         self.draining = True
         for client in list(self.open):
@@ -341,7 +350,7 @@
     async def drain(self, accept_for: float) -> None:
         """Close connections as they fall idle, go on accepting for a while, then finish what is held."""
         self.join()
-        self.driver.readiness.ending = True
+        self.driver.readiness.ending = not self.driver.readiness.handed_on
         self._close_between()
         await asyncio.sleep(accept_for)
         self.server.close()
--- a/saffrongw/control.py
+++ b/saffrongw/control.py
@@ -8,6 +8,7 @@
 from .clients import Clients
 from .config import Address
 from .driver import Driver
+from .upgrade import Elder, Seat
 
 log = logging.getLogger(__name__)
 
@@ -15,6 +16,7 @@
 LINE_MOST = 512  # bytes of a call
 SILENT_FOR = 10.0  # seconds until a caller without a whole call is closed
 TAKEN_WITHIN = 1.0  # seconds that a caller has to take its answer and close
+BIND_EVERY = 0.5  # seconds until an address that is taken is tried again
 
 
 class Caller(asyncio.Protocol):
@@ -23,9 +25,11 @@
     def __init__(self, control: Control) -> None:
         self.control = control
         self.line = b""
-        self.answered = False
+        self.answered = self.written = False
+        self.ended = False  # the caller sends no more
         self.transport: asyncio.Transport | None = None
         self.limit: asyncio.TimerHandle | None = None
+        self.task: asyncio.Task | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """An operator has connected."""
@@ -45,15 +49,20 @@
         self.line += data[: LINE_MOST + 1 - len(self.line)]
         line, end, _ = self.line.partition(b"\n")
         if end:
-            self.answer(self.control.call(line))
+            self.answered = True
+            self.task = self.control.loop.create_task(self._call(line))
         elif len(self.line) > LINE_MOST:
             self.answer("error the line is too long")
 
+    async def _call(self, line: bytes) -> None:
+        self.answer(await self.control.call(line))
+
     def eof_received(self) -> bool:
         """A line without its end may be a longer one cut off, ``OFFLINE h1`` of ``OFFLINE h12``."""
+        self.ended = True
         if not self.answered:
             self.answer("error the line has no end")
-        return True  # the answer is still to be written
+        return not self.written
 
     def answer(self, text: str) -> None:
         """One line, and the end. It is read on until the caller has closed: a close over unread bytes would
@@ -62,6 +71,10 @@
         self.control.count(text)
         if not self.transport.is_closing():
             self.transport.write(text.encode() + b"\n")
+            self.written = True
+            if self.ended:
+                self.transport.close()
+                return
             self.transport.write_eof()
             self._close_in(TAKEN_WITHIN)
 
@@ -78,15 +91,19 @@
         self.driver, self.clients, self.loop = driver, clients, driver.loop
         self.callers: dict[Caller, None] = {}  # the one that connected first stands first
         self.server: asyncio.Server | None = None
-
-    async def listen(self, address: Address | None) -> None:
-        """Answer from now on; without the address all else works."""
-        if address is None:
-            return
-        try:
-            self.server = await self.loop.create_server(lambda: Caller(self), *address, backlog=CALLERS_MOST)
-        except OSError as wrong:
-            log.error("no control at %s:%d: %s", *address, wrong)
+        self.elder: Elder | None = None  # the process before this one, as long as it finishes
+        self.seat: Seat | None = None  # where the next process takes over, or has
+
+    async def listen(self, address: Address) -> None:
+        """Answer from now on; where the address is taken, by the process before this one, once it is free."""
+        while self.server is None:
+            try:
+                self.server = await self.loop.create_server(
+                    lambda: Caller(self), *address, backlog=CALLERS_MOST
+                )
+            except OSError as wrong:
+                log.error("no control at %s:%d yet: %s", *address, wrong)
+                await asyncio.sleep(BIND_EVERY)
 
     def opened(self, caller: Caller) -> None:
         """One more; a new one is never the one that goes."""
@@ -101,13 +118,19 @@
         """For the line of counters."""
         self.driver.stats["control_" + answer.split(" ", 1)[0]] += 1
 
-    def call(self, line: bytes) -> str:
-        """Carry out one call; the line that answers it."""
-        words = line.removesuffix(b"\r").split(b" ")
-        match words:
-            case [b"HEALTH"]:
-                why_not = self.driver.readiness.why_not
-                return f"error {why_not}" if why_not else "done ready"
+    async def call(self, line: bytes) -> str:
+        """Carry out one call; the line that answers it. HEALTH is about this process alone."""
+        line = line.removesuffix(b"\r")
+        if line == b"HEALTH":
+            why_not = self.driver.readiness.why_not
+            return f"error {why_not}" if why_not else "done ready"
+        if self.driver.readiness.handed_on:
+            return await self.seat.ask(line)
+        return await self.here(line)
+
+    async def here(self, line: bytes) -> str:
+        """Carry out one call in this process."""
+        match line.split(b" "):
             case [b"LEAVE"]:
                 log.info("control: leave")
                 self.clients.leave()
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -53,6 +53,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     guard: asyncio.TimerHandle | None = None
     finished: bool = False
+    elsewhere: bool = False  # the process that took over decides on it
 
 
 @dataclass(slots=True, eq=False)
@@ -83,6 +84,19 @@
         """Discovery's list has changed; the attempts that must not be sent any more."""
 
 
+class Heir(Protocol):
+    """What the driver needs of ``upgrade.py`` once another process owns the counts."""
+
+    def arrived(self, call: Call) -> None:
+        """It decides on a request, and its answer comes back."""
+
+    def client_gone(self, call: Call) -> None:
+        """Nobody waits for that answer any more."""
+
+    def told(self, event: api.AttemptElsewhere | api.AttemptEnded | api.PeerMessage) -> None:
+        """What concerns it of what happens here."""
+
+
 class Clock:
     """Unix time in microseconds, read once and then advanced by the monotonic clock: it never jumps."""
 
@@ -107,6 +121,8 @@
         self.last_number = 0
         self.pending: deque[api.Event] = deque()
         self.feeding = False
+        self.frozen = False  # the state is being handed over: events wait
+        self.heir: Heir | None = None  # the process that owns the counts now
 
     def start(self, known: HostList) -> None:
         """The first actions, and the list as it was last known, before any client is served."""
@@ -134,7 +150,10 @@
         call = Call(event, parts, self.clock() + left, answer)
         self.calls[self.last_number] = call
         call.guard = self._at(call.until, self._time_up, call)
-        self.feed(event)
+        if self.heir:
+            self._pass_on(call)
+        else:
+            self.feed(event)
         return call
 
     def client_gone(self, call: Call) -> None:
@@ -142,7 +161,10 @@
         if not call.finished:
             self.stats["client_gone"] += 1
             self._close(call)
-            self.feed(api.ClientGone(call.event.request))
+            if call.elsewhere:
+                self.heir.client_gone(call)
+            else:
+                self.feed(api.ClientGone(call.event.request))
 
     def attempt_ended(
         self,
@@ -196,7 +218,9 @@
     def feed(self, event: api.Event) -> None:
         """One event to the module; what an action leads to at once waits until all of them are done."""
         self.pending.append(event)
-        if self.feeding:
+        if self.heir and isinstance(event, api.AttemptEnded | api.AttemptElsewhere | api.PeerMessage):
+            self.heir.told(event)
+        if self.feeding or self.frozen:
             return
         self.feeding = True
         try:
@@ -219,6 +243,43 @@
             actions = [action for action in self.gateway.actions if isinstance(action, api.SetTimer)]
         self._carry_out(actions)
 
+    # -- handing over ---------------------------------------------------------------------------------------
+
+    def freeze(self) -> None:
+        """From now on nothing is decided: the state stays as it is, and events wait."""
+        self.frozen = True
+
+    def thaw(self) -> None:
+        """Nobody took over: decide on what has come meanwhile."""
+        self.frozen = False
+        waiting, self.pending = self.pending, deque()
+        for event in waiting:
+            self.feed(event)
+
+    def hand_on(self, heir: Heir) -> None:
+        """Another process owns the counts: it decides on all that has not been sent to a host yet."""
+        self.heir = heir
+        unsent = [call for call in self.calls.values() if not call.attempts and not call.finished]
+        waiting, self.pending = self.pending, deque()
+        self.frozen = False
+        for call in unsent:
+            self.feed(api.ClientGone(call.event.request))  # one that it holds, it forgets
+            self._pass_on(call)
+        for event in waiting:
+            if not isinstance(event, api.RequestArrived):
+                self.feed(event)
+
+    def _pass_on(self, call: Call) -> None:
+        self.stats["relayed"] += 1
+        call.elsewhere = True
+        self.heir.arrived(call)
+
+    def answered_elsewhere(self, number: int, reply: bytes) -> None:
+        """The process that decides on a request has answered it; or it is gone, and nobody will."""
+        call = self.calls.get(number)
+        if call is not None and call.elsewhere:
+            self._finish(call, reply)
+
     # -- actions --------------------------------------------------------------------------------------------
 
     def _carry_out(self, actions: list[api.Action]) -> None:
@@ -235,6 +296,8 @@
         call.attempts.append(attempt)
         if give_up_at < call.until:  # else the call's own timer ends it: one less for every attempt
             attempt.timer = self._at(give_up_at, self._timed_out, attempt)
+        if self.heir:
+            self.heir.told(api.AttemptElsewhere(call.event, attempt.number, attempt.server, now))
         self.hosts.send(attempt)
 
     def _cancel(self, action: api.Cancel) -> None:
@@ -309,7 +372,8 @@
         if not call.finished:
             log.warning("a request was left unanswered by the decisions")
             self._finish(call, FAILED)
-            self.feed(api.ClientGone(call.event.request))
+            if not call.elsewhere:
+                self.feed(api.ClientGone(call.event.request))
 
     def _after(self, span: int, callback: Callable, *args) -> asyncio.TimerHandle:
         """Call back no earlier than a span from now: the loop counts whole milliseconds."""
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -253,6 +253,11 @@
             return
         ended(attempt, api.Outcome.ERROR, None, parse_report(line[-1].encode(), self.report_names))
 
+    def close_idle(self) -> None:
+        """Close what nothing is out on: another process needs the room."""
+        for pool in self.pools.values():
+            pool.close_idle(float("inf"))
+
     def gauges(self) -> dict[str, int]:
         """Connections to hosts, open or opening."""
         return {
--- a/saffrongw/peers.py
+++ b/saffrongw/peers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import socket
 
 from orchidlane import messages
 
@@ -18,6 +20,24 @@
         self.ranks = {address: rank for rank, address in enumerate(addresses) if rank != own}
         self.transport: asyncio.DatagramTransport | None = None
 
+    async def listen(self, at: Address | socket.socket) -> None:
+        """Hear and tell from now on, at an address or on a socket that another process had before."""
+        loop = self.driver.loop
+        if isinstance(at, socket.socket):
+            await loop.create_datagram_endpoint(lambda: self, sock=at)
+        else:  # shared: a process that hangs may still hold it
+            await loop.create_datagram_endpoint(lambda: self, local_addr=at, reuse_port=True)
+
+    def fileno(self) -> int:
+        """The socket's descriptor."""
+        return self.transport.get_extra_info("socket").fileno()
+
+    def leave(self) -> socket.socket:
+        """Read no more: the socket has one reader at a time. What comes meanwhile waits in it."""
+        kept = socket.socket(fileno=os.dup(self.fileno()))
+        self.transport.close()
+        return kept
+
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
         """The socket is bound."""
         self.transport = transport
--- a/saffrongw/readiness.py
+++ b/saffrongw/readiness.py
@@ -12,11 +12,19 @@
     listed: bool = False  # a list that names a host has been told
     serving: bool = False  # the clients' listener is ours
     left: bool = False  # an operator told it to leave
-    ending: bool = False  # it was told to end, or its work has gone to another process
+    ending: bool = False  # it was told to end
+    handed_on: bool = False  # another process serves in its place
 
     @property
     def why_not(self) -> str:
-        """Why nothing new should come here; empty: it should."""
+        """Why nothing new should come to this process; empty: it should."""
+        return "handed over to the next process" if self.handed_on else self.why_not_here
+
+    @property
+    def why_not_here(self) -> str:
+        """Why nothing new should come to this address, whichever process serves it; empty: it should."""
+        if self.handed_on:
+            return ""
         if self.ending:
             return "ending"
         if self.left:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,9 @@
 import dataclasses
 import functools
 import json
+import os
+import socket
+import sys
 
 import hiredis
 import pytest
@@ -292,3 +295,61 @@
         """News of discovery."""
         raw = {"seq": 2, "whole": whole, "hosts": list(lines)}
         self.driver.listed(config.parse_hosts(raw, self.config.zones))
+
+
+def free_address() -> str:
+    """One that nobody listens at."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class Service:
+    """Real processes that serve one address after each other, in one $TMPDIR."""
+
+    def __init__(self, folder, *hosts: FakeHost, discovery="127.0.0.1:1", **changes) -> None:
+        self.folder, self.processes = folder, []
+        known = {"seq": 1, "whole": True, "hosts": [host.line() for host in hosts]}
+        peers = [free_address(), free_address()]
+        self.text = {"name": "n0", "listen": free_address(), "discovery": discovery, "seed": "01"}
+        self.text |= {"limits": {"sockets": 256}, "known": known, "settings": SITE | changes}
+        self.text |= {"peer_listen": peers[0], "peers": peers}
+        self.control = ""
+
+    async def start(self, ready=True) -> asyncio.subprocess.Process:
+        """One more process, with an address for operators of its own; it says yes once this returns."""
+        self.control = free_address()
+        file = self.folder / f"config{len(self.processes)}.json"
+        file.write_text(json.dumps(self.text | {"control": self.control}))
+        environment = os.environ | {"LB_CONFIG": str(file), "TMPDIR": str(self.folder)}
+        process = await asyncio.create_subprocess_exec(sys.executable, "-m", "saffrongw", env=environment)
+        self.processes.append(process)
+        while ready and not (await self.say(b"HEALTH")).startswith("done"):
+            assert process.returncode is None
+            await asyncio.sleep(0.02)
+        return process
+
+    async def say(self, line: bytes, control: str = "") -> str:
+        """Call as an operator; nobody there is no yes."""
+        try:
+            reader, writer = await asyncio.open_connection(*config.address(control or self.control))
+        except OSError:
+            return "nobody"
+        writer.write(line + b"\n")
+        answer = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        return answer.decode()
+
+    async def caller(self) -> Caller:
+        """A client's connection."""
+        where = config.address(self.text["listen"])
+        return (await asyncio.get_running_loop().create_connection(Caller, *where))[1]
+
+    async def __aenter__(self) -> Service:
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
