--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -7,14 +7,15 @@
 import re
 import socket
 from collections import deque
+from dataclasses import dataclass, field
 
 import hiredis
 
 from orchidlane.interface import Effect
 
 from .config import Config
-from .driver import Call, Driver, Terms
-from .resp import VALUE_MOST, Reader
+from .driver import Body, Call, Driver, Source, Terms
+from .resp import CRLF, LARGE_MOST, MARK, VALUE_MOST, Large, Reader
 
 UNFINISHED_MOST = 2 * VALUE_MOST  # bytes of one command: a body and little else
 UNFINISHED_ALL = 64 * VALUE_MOST  # bytes of all clients' unfinished commands, to bound memory
@@ -22,10 +23,17 @@
 SURPLUS_MOST = 16  # connections beyond the limit that still get a word: more are closed at once
 UNREAD_FOR = 10.0  # seconds that a client may leave its answers unread
 ID_MOST = 64  # bytes of a request's id
-WHOLE_WITHIN = 2.0  # seconds for a first command, or for the rest of one
+WHOLE_WITHIN = 2.2  # seconds for a first command, for the rest of one, or for more of a large body
+RATE_LEAST = 16 * 1024  # bytes of a large body a second, after that time
+BODY_AT = 4  # place of a command's body
+PIECE_MOST = 64 * 1024  # bytes that wait in a socket: bounds a piece
+BODIES_PART = 1 / 5  # of the memory: what all large bodies that are kept may take
+ROOM_WITHIN = 3.0  # seconds that a client waits for room for its large body
+LINGER = 1.0  # seconds in which what a client still sends is read away, so that it gets its error line
 LOOK_EVERY = 0.2  # seconds between two looks at what is overdue
 UNFINISHED_FOR = 1.0  # seconds that a client stuck within a command may hold up the end
 SEEN_WITHIN = 0.6  # seconds after which the front has seen that we leave, and sends no new connections
+GONE_AFTER = 3.3  # seconds after which nobody who leaves holds a connection without a request
 TAKEN_FOR = 1.8  # seconds after which one that leaves takes no request any more
 FIRST_WITHIN = 0.3  # seconds that a new connection has for its first command while others are closed
 CUSTOMER_BITS = 33
@@ -80,39 +88,116 @@
 class Slot:
     """The place of one command's answer on its connection."""
 
-    __slots__ = ("call", "client", "reply")
+    __slots__ = ("begun", "call", "client", "reply", "room", "source")
 
     def __init__(self, client: Client) -> None:
         self.client = client
-        self.reply: bytes | None = None
+        self.reply: bytes | None = None  # what can be written of the answer, and has not been
         self.call: Call | None = None
+        self.room = 0  # bytes of its body that are kept
+        self.source: Source | None = None  # where the rest of a large answer comes from
+        self.begun = False  # its turn has come, and its first bytes are written
 
     def answer(self, reply: bytes) -> None:
         """The answer is known; it is written once those before it are."""
         self.reply = reply
+        self.give_back()
         self.client.flush()
 
+    def give_back(self) -> None:
+        """Its body is not needed any more."""
+        room, self.room = self.room, 0
+        self.client.clients.room.give_back(room)
+
+    # -- a large answer
+
+    def begin(self, length: int, source: Source) -> None:
+        """So many bytes will come; where its turn has not, they wait at the host."""
+        self.source = source
+        self.answer(b"$%d\r\n" % length)
+
+    def piece(self, data: bytes) -> None:
+        """Some of them."""
+        if self.begun:
+            self.client.transport.write(data)
+        else:
+            self.reply += data
+            self.source.pause()
+
+    def end(self) -> None:
+        """They were all."""
+        self.piece(CRLF)
+        self.source = None
+        self.client.flush()
+
+    def fail(self) -> None:
+        """The rest will never come: the client must not take what there is for an answer."""
+        self.source = None
+        if not self.client.transport.is_closing():
+            self.client.clients.driver.stats["stream_broken"] += 1
+            self.client.closing = True
+            self.client.transport.close()
+
+
+@dataclass(slots=True)
+class Upload:
+    """A command whose large body is still coming; without terms it is malformed, and read away."""
+
+    large: Large
+    began: float
+    terms: Terms | None = None
+    parts: tuple[bytes, ...] = ()
+    pieces: list[bytes] = field(default_factory=list)
+    has_room: bool = True
+
+
+class Room:
+    """The memory for large bodies of all clients: who finds none is not read from until there is some."""
+
+    def __init__(self, most: int) -> None:
+        self.free = max(most, LARGE_MOST)
+        self.waiting: dict[Client, int] = {}  # in the order of their coming
+
+    def take(self, client: Client, size: int) -> bool:
+        """Whether there is room now; else the client is told when there is."""
+        if self.waiting or self.free < size:
+            self.waiting[client] = size
+            return False
+        self.free -= size
+        return True
+
+    def give_back(self, size: int) -> None:
+        """So much is free again: it goes to who waits longest."""
+        self.free += size
+        while self.waiting and (client := next(iter(self.waiting))) and self.waiting[client] <= self.free:
+            self.free -= self.waiting.pop(client)
+            client.got_room()
+
 
 class Client(asyncio.Protocol):
     """One client connection."""
 
     def __init__(self, clients: Clients) -> None:
         self.clients = clients
-        self.reader = Reader(UNFINISHED_MOST)
+        self.reader = Reader(UNFINISHED_MOST, large_at=BODY_AT, large_last=True)
+        self.upload: Upload | None = None
         self.slots: deque[Slot] = deque()
         self.unfinished = 0  # bytes since the last whole command
         self.closing = False  # close once all is answered
+        self.lingers = self.lingering = False  # read on for a while before that / at present
         self.surplus = False  # there is no room for it
         # Since when it waits for a first command, or for the rest of one; 0: for none.
         self.waits_since = clients.driver.loop.time()
         self.overdue = False
-        self.unread_since = 0.0  # since when the client takes no answers; 0: it does
+        self.unread_since = 0.0  # since when the client takes nothing of its answers; 0: it does
+        self.unread = 0  # bytes that it had not taken then
         self.held = False  # no more is read for now
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """A client has connected."""
         self.transport = transport
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE_MOST)
         over = self.clients.opened(self)
         self.surplus = over > 0
         if over > SURPLUS_MOST:  # guards the descriptors that hosts and discovery need
@@ -121,15 +206,21 @@
     def pause_writing(self) -> None:
         """Guards memory: a client that reads no answers is not read from either."""
         self.unread_since = self.clients.driver.loop.time()
+        self.unread = self.transport.get_write_buffer_size()
+        if self.slots and self.slots[0].source:
+            self.slots[0].source.pause()
         self._hold()
 
     def resume_writing(self) -> None:
         """The client reads again."""
         self.unread_since = 0.0
+        if self.slots and self.slots[0].source:
+            self.slots[0].source.resume()
         self._go_on()
 
     def _full(self) -> bool:
-        return self.unread_since > 0 or len(self.slots) >= PIPELINE_MOST
+        no_room = self.upload is not None and not self.upload.has_room
+        return self.unread_since > 0 or len(self.slots) >= PIPELINE_MOST or no_room
 
     def _hold(self) -> None:
         if not self.held:
@@ -146,9 +237,10 @@
         """Commands, or parts of them."""
         if self.closing:
             return
-        self.unfinished += len(data)
+        passed = self.reader.passed
         self.clients.driver.stats["client_bytes_in"] += len(data)
         self.reader.feed(data)
+        self.unfinished += len(data) - (self.reader.passed - passed)
         self._read()
 
     def _read(self) -> None:
@@ -158,17 +250,25 @@
             while not self.closing:
                 if self._full():
                     return self._hold()
+                if self.upload:
+                    if not self._uploaded():
+                        break
+                    whole = True
+                    continue
                 if (command := self.reader.gets()) is False:
                     break
                 self.unfinished, whole = 0, True
-                self._command(command)
+                if self.reader.large and isinstance(command, list) and command[-1:] == [MARK]:
+                    self._begin_upload(command, self.reader.large.popleft())
+                else:
+                    self._command(command)
             if self.unfinished > UNFINISHED_MOST:
                 raise hiredis.ProtocolError("command too long")
             if self.unfinished and self.clients.unfinished() > UNFINISHED_ALL:
                 raise hiredis.ProtocolError("too much is unfinished")
             if self.reader.between:
                 self.waits_since = 0.0
-            elif whole or not self.waits_since:
+            elif whole or self.upload or not self.waits_since:
                 self.waits_since = self.clients.driver.loop.time()
         except hiredis.ProtocolError as wrong:  # where the next command starts is lost
             self.clients.driver.stats["client_protocol_error"] += 1
@@ -178,20 +278,79 @@
     def look(self, before: float) -> None:
         """Closes a connection on which nothing proper has come for too long. What came while we stood still
         is read between two looks, so it takes two of them."""
+        if self.unread_since and (unread := self.transport.get_write_buffer_size()) < self.unread:
+            self.unread, self.unread_since = unread, before + WHOLE_WITHIN  # slow, but it reads
         if 0 < self.unread_since < before - (UNREAD_FOR - WHOLE_WITHIN):
             self.clients.driver.stats["client_unread"] += 1
             self.transport.abort()  # a close would wait for the client
-        due, self.overdue = self.overdue, 0 < self.waits_since < before and not self.slots
+        late = 0 < self.waits_since < before or (self.upload is not None and self._dawdles(before))
+        due, self.overdue = self.overdue, late and not self.slots
         if due and self.overdue:
             self.clients.driver.stats["client_overdue"] += 1
             if self.reader.between:
                 self.transport.close()  # no word, which would be taken for the answer to a request on its way
+            elif self.upload and not self.upload.has_room:
+                self.clients.driver.stats["refused_no_room"] += 1
+                self._last(b"-BUSY\r\n")  # it has not run
             else:
                 self._end("no whole command in time")
 
     def _end(self, why: str) -> None:
-        self.closing = True
-        self._reply(b"-ERR %b\r\n" % why.encode(errors="replace"))
+        """An error line, and the end once those before it are written."""
+        self._last(b"-ERR %b\r\n" % why.encode(errors="replace"))
+
+    def _last(self, reply: bytes) -> None:
+        """What still comes is read away for a while: a close over unread bytes would reset the connection
+        and take the line with it."""
+        if self.held and not self.transport.is_closing():
+            self.held = False
+            self.transport.resume_reading()
+        self.lingers = self.closing = True
+        self._free_upload()
+        self._reply(reply)
+
+    def _begin_upload(self, command: list[object], large: Large) -> None:
+        """A command has come but for its large body: read on if it makes sense and there is room."""
+        upload = self.upload = Upload(large, self.clients.driver.loop.time())
+        try:
+            if not all(isinstance(value, bytes) for value in command) or command[0] != b"CALL.POST":
+                raise Malformed("unknown command")
+            upload.terms, parts = parse(command, self.clients.config)
+        except Malformed as wrong:
+            self.clients.driver.stats["client_malformed"] += 1
+            return self._reply(b"-ERR %b\r\n" % str(wrong).encode())
+        upload.parts = parts[:-1]
+        if not self.clients.room.take(self, large.length):
+            self.clients.driver.stats["upload_waited"] += 1
+            upload.has_room = False
+            self.waits_since = 0.0  # it is we who keep it waiting
+        return None
+
+    def got_room(self) -> None:
+        """There is room for the large body now."""
+        now = self.clients.driver.loop.time()
+        self.upload.has_room, self.upload.began, self.waits_since = True, now, now
+        self._go_on()
+
+    def _uploaded(self) -> bool:
+        """Whether the large body has come whole; then its request has arrived."""
+        upload = self.upload
+        pieces = upload.large.take()
+        if upload.terms:
+            upload.pieces += pieces
+        if self.reader.passing is upload.large:
+            return False
+        self.upload = None
+        if upload.terms:
+            self._arrived(upload.terms, (*upload.parts, tuple(upload.pieces)), upload.large.length)
+        return True
+
+    def _dawdles(self, before: float) -> bool:
+        """Whether its large body comes too slowly, or found no room for too long."""
+        upload = self.upload
+        if not upload.has_room:
+            return upload.began < before + WHOLE_WITHIN - ROOM_WITHIN
+        return upload.large.length - upload.large.left < RATE_LEAST * (before - upload.began)
 
     def _command(self, command: object) -> None:
         if not isinstance(command, list) or not command or not all(isinstance(v, bytes) for v in command):
@@ -211,28 +370,41 @@
         except Malformed as wrong:
             self.clients.driver.stats["client_malformed"] += 1
             return self._reply(b"-ERR %b\r\n" % str(wrong).encode())
+        return self._arrived(terms, parts)
+
+    def _arrived(self, terms: Terms, parts: tuple[bytes | Body, ...], room: int = 0) -> None:
+        """A request has come whole; its body takes so much of the room for large ones."""
         if self.surplus and len(self.clients.open) > self.clients.most:  # guards descriptors: it has not run
             self.closing = True
             self.clients.driver.stats["refused_crowded"] += 1
-            return self._reply(b"-BUSY 1000\r\n")
+            return self._reply(b"-BUSY 1000\r\n", room)
         if self.clients.finishing:
             self.clients.driver.stats["refused_leaving"] += 1
-            return self._reply(b"-BUSY\r\n")
+            return self._reply(b"-BUSY\r\n", room)
         self.clients.used(self)
         slot = Slot(self)
+        slot.room = room
         self.slots.append(slot)
-        slot.call = self.clients.driver.arrived(terms, parts, slot.answer)
+        slot.call = self.clients.driver.arrived(terms, parts, slot.answer, slot)
         return None
 
-    def _reply(self, reply: bytes) -> None:
+    def _reply(self, reply: bytes, room: int = 0) -> None:
         slot = Slot(self)
+        slot.room = room
         self.slots.append(slot)
         slot.answer(reply)
 
     def flush(self) -> None:
         """Write the answers whose turn has come."""
-        while self.slots and self.slots[0].reply is not None:
-            self.transport.write(self.slots.popleft().reply)
+        while self.slots and (slot := self.slots[0]).reply is not None:
+            if not slot.begun:
+                slot.begun = True
+                self.transport.write(slot.reply)
+                if slot.source and not self.unread_since:
+                    slot.source.resume()
+            if slot.source:
+                break
+            self.slots.popleft()
         self._go_on()
         self.close_if_idle()
 
@@ -240,17 +412,30 @@
         """Close between two requests, if it shall be closed."""
         if not self.slots and (self.closing or (self.clients.draining and self.reader.between)):
             new = self.waits_since > self.clients.driver.loop.time() - FIRST_WITHIN
-            if self.closing or not new:  # the first command of a new one is on its way
+            if self.lingers and not self.lingering and not self.transport.is_closing():
+                self.lingering = True
+                self.transport.write_eof()
+                self.clients.driver.loop.call_later(LINGER, self.transport.abort)
+            elif not self.lingers and (self.closing or not new):  # a new one's command is on its way
                 self.transport.close()
 
     def connection_lost(self, error: Exception | None) -> None:
         """The client has gone away, and with it all that it waited for."""
         self.clients.open.pop(self, None)
+        self._free_upload()
         slots, self.slots = self.slots, deque()
         for slot in slots:
-            if slot.call:
+            slot.give_back()
+            if slot.source:
+                slot.source.abort()
+            elif slot.call:
                 self.clients.driver.client_gone(slot.call)
 
+    def _free_upload(self) -> None:
+        upload, self.upload = self.upload, None
+        waited = self.clients.room.waiting.pop(self, 0)
+        self.clients.room.give_back(upload.large.length if upload and upload.terms and not waited else 0)
+
 
 class Clients:
     """All client connections."""
@@ -258,6 +443,7 @@
     def __init__(self, driver: Driver, config: Config, most: int) -> None:
         self.driver, self.config, self.most = driver, config, most
         self.open: dict[Client, None] = {}  # the one whose last request is longest ago comes first
+        self.room = Room(int(BODIES_PART * config.memory))
         self.draining = False  # connections are closed between requests
         self.finishing = False  # and no request is taken any more
         self.leaving: list[asyncio.TimerHandle] = []  # the steps of a drain still to come
@@ -287,7 +473,11 @@
             return
         self.driver.readiness.left = True
         later = self.driver.loop.call_later
-        self.leaving = [later(SEEN_WITHIN, self._close_between), later(TAKEN_FOR, self._take_no_more)]
+        self.leaving = [
+            later(SEEN_WITHIN, self._close_between),
+            later(TAKEN_FOR, self._take_no_more),
+            later(GONE_AFTER, self._close_without_request),
+        ]
 
     def join(self) -> str:
         """Back to work, at whatever step the drain was; what is said to the operator."""
@@ -298,6 +488,10 @@
         self.driver.readiness.left = self.draining = self.finishing = False
         return "done joined"
 
+    def _owes(self) -> bool:
+        """Whether an answer is still to come, or the rest of a large one."""
+        return bool(self.driver.calls) or any(client.slots for client in self.open)
+
     def hand_on(self) -> None:
         """The next process accepts: close connections between requests."""
         self.join()
@@ -313,6 +507,12 @@
         """Whoever was within a command all the time: its request would hold the connection too long."""
         self.finishing = True
 
+    def _close_without_request(self) -> None:
+        """Whoever is within a command still, a large body for one."""
+        for client in list(self.open):
+            if not client.slots:
+                client.transport.abort()
+
     def opened(self, client: Client) -> int:
         """One more, if need be in the place of the one idle longest; how many there are beyond the limit."""
         self.driver.stats["client_accepted"] += 1
@@ -345,6 +545,8 @@
             "client_slots": sum(len(c.slots) for c in self.open),
             "client_unfinished": sum(not c.reader.between for c in self.open),
             "client_unfinished_bytes": self.unfinished(),
+            "client_uploads": sum(c.upload is not None for c in self.open),
+            "upload_room_kb": self.room.free // 1024,
         }
 
     async def drain(self, accept_for: float) -> None:
@@ -355,7 +557,7 @@
         await asyncio.sleep(accept_for)
         self.server.close()
         end = self.driver.loop.time() + UNFINISHED_FOR
-        while self.driver.calls or (self.open and self.driver.loop.time() < end):
+        while self._owes() or (self.open and self.driver.loop.time() < end):
             for client in list(self.open):
                 client.close_if_idle()
             await asyncio.sleep(0.01)
--- a/saffrongw/config.py
+++ b/saffrongw/config.py
@@ -13,6 +13,7 @@
 
 PHASES = {"SERVING": api.Phase.READY, "DRAINING": api.Phase.DRAINING, "DELETED": api.Phase.GONE}
 MS = 1_000  # microseconds
+MEMORY_MB = 64  # where no limit is told
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +42,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory: int  # bytes
     control: Address | None  # where operators call
     peer_listen: Address | None
     peers: tuple[Address, ...]
@@ -94,6 +96,7 @@
         discovery=address(raw["discovery"]),
         seed=int(raw["seed"], 16),
         sockets=int(raw["limits"]["sockets"]),
+        memory=int(float(raw["limits"].get("memory_mb", MEMORY_MB)) * 1024 * 1024),
         control=address(raw["control"]) if raw.get("control") else None,
         peer_listen=address(raw["peer_listen"]) if peers and raw.get("peer_listen") else None,
         peers=tuple(address(peer) for peer in peers),
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -42,14 +42,48 @@
     is_repeat: bool
 
 
+class Source(Protocol):
+    """Where the pieces of a large answer come from."""
+
+    def pause(self) -> None:
+        """Send no more pieces for now."""
+
+    def resume(self) -> None:
+        """Go on."""
+
+    def abort(self) -> None:
+        """Nobody wants the rest."""
+
+
+class Sink(Protocol):
+    """Where the pieces of a large answer go."""
+
+    def begin(self, length: int, source: Source) -> None:
+        """So many bytes will come."""
+
+    def piece(self, data: bytes) -> None:
+        """Some of them."""
+
+    def end(self) -> None:
+        """They were all."""
+
+    def fail(self) -> None:
+        """The rest will never come."""
+
+
+Body = tuple[bytes, ...]  # a large one, in the pieces that it came in
+
+
 @dataclass(slots=True, eq=False)
 class Call:
     """A client's request: what goes to hosts, and how it stands."""
 
     event: api.RequestArrived
-    parts: tuple[bytes, ...]  # command, customer, id, terms before and after the value of ``d``, perhaps body
+    # Command, customer, id, terms before and after the value of ``d``, perhaps body.
+    parts: tuple[bytes | Body, ...]
     until: int  # clock time by which it must be answered
     answer: Callable[[bytes], None]
+    sink: Sink | None = None  # takes a large answer
     attempts: list[Attempt] = field(default_factory=list)
     guard: asyncio.TimerHandle | None = None
     finished: bool = False
@@ -134,7 +168,13 @@
 
     # -- events ---------------------------------------------------------------------------------------------
 
-    def arrived(self, terms: Terms, parts: tuple[bytes, ...], answer: Callable[[bytes], None]) -> Call:
+    def arrived(
+        self,
+        terms: Terms,
+        parts: tuple[bytes | Body, ...],
+        answer: Callable[[bytes], None],
+        sink: Sink | None = None,
+    ) -> Call:
         """A client's request, its last byte just read; the client's own ids stay outside the module."""
         self.last_number += 1
         self.stats["requests"] += 1
@@ -150,7 +190,7 @@
             terms.spread,
             terms.is_repeat,
         )
-        call = Call(event, parts, self.clock() + left, answer)
+        call = Call(event, parts, self.clock() + left, answer, sink)
         self.calls[self.last_number] = call
         call.guard = self._at(call.until, self._time_up, call)
         if self.heir:
@@ -202,6 +242,19 @@
             )
         )
 
+    def stream_started(self, attempt: Attempt, length: int, source: Source) -> Sink | None:
+        """The first bytes of a large answer: it is served now, whoever is slow with the rest. Gives where its
+        pieces go; None: nobody waits for it, or can take it."""
+        call = attempt.call
+        if attempt.ended or call.finished or call.sink is None:
+            return None
+        self.stats["served"] += 1
+        self.stats["streamed"] += 1
+        self._close(call)
+        call.sink.begin(length, source)
+        self.attempt_ended(attempt, api.Outcome.SERVED)
+        return call.sink
+
     def listed(self, listed: HostList, cached: bool = False) -> None:
         """Discovery told something."""
         kind = api.ListKind.WHOLE if listed.whole else api.ListKind.CHANGES
@@ -283,9 +336,12 @@
                 self.feed(event)
 
     def _pass_on(self, call: Call) -> None:
+        if isinstance(call.parts[-1], tuple):  # not worth the memory in both: it has not run
+            self.stats["refused_handed_over"] += 1
+            return self._finish(call, b"-BUSY\r\n")
         self.stats["relayed"] += 1
         call.elsewhere = True
-        self.heir.arrived(call)
+        return self.heir.arrived(call)
 
     def answered_elsewhere(self, number: int, reply: bytes) -> None:
         """The process that decides on a request has answered it; or it is gone, and nobody will."""
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import socket
 from collections import deque
 
 import hiredis
@@ -15,12 +16,14 @@
 from orchidlane import interface as api
 
 from .config import Address, HostList
-from .driver import Attempt, Driver
-from .resp import VALUE_MOST, Reader
+from .driver import Attempt, Driver, Sink
+from .resp import CRLF, VALUE_MOST, Reader
 
 log = logging.getLogger(__name__)
 
-ANSWER_MOST = 2 * VALUE_MOST  # bytes of a whole answer: a value, figures and a report
+ANSWER_MOST = 2 * VALUE_MOST  # bytes of a whole answer but for a large value: figures and a report
+PIECE_MOST = 64 * 1024  # bytes that wait in a socket: bounds a piece, where the client is slow
+SILENT_FOR = 10.0  # seconds that a host may leave a large answer without a byte
 IDLE_PART = 0.6  # of the hosts' idle limit: ours are closed clearly earlier, so none meets a closing one
 SWEEPS = 10  # looks at idle connections in that time
 MS = 1_000
@@ -37,12 +40,17 @@
         return ()
 
 
-def pack_request(attempt: Attempt, now: int) -> bytes:
+def pack_request(attempt: Attempt, now: int) -> tuple[bytes, ...]:
     """The client's command as it came, but for how long the gateway will wait."""
     command, customer, number, before, after, *body = attempt.call.parts
     left = max(1, (attempt.give_up_at - now) // MS)
     terms = before + b"%d" % left + after
-    return hiredis.pack_command((command, customer, number, terms, *body))
+    words = command, customer, number, terms
+    if body and isinstance(body[0], tuple):  # in its pieces, which are kept: it may go out again
+        head = hiredis.pack_command(words).removeprefix(b"*%d" % len(words))
+        length = b"$%d\r\n" % sum(map(len, body[0]))
+        return b"*%d%b%b" % (len(words) + 1, head, length), *body[0], CRLF
+    return (hiredis.pack_command((*words, *body)),)
 
 
 class Connection(asyncio.Protocol):
@@ -51,8 +59,12 @@
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
         self.transport: asyncio.Transport | None = None
-        self.reader = Reader(VALUE_MOST)
+        self.reader = Reader(VALUE_MOST, large_at=0)
         self.attempt: Attempt | None = None
+        self.sink: Sink | None = None  # where the pieces of a large answer go
+        self.reply: object = False  # what came of it besides: it is used again once that is whole
+        self.paused = False
+        self.heard = 0.0  # when it last sent a piece
         self.received = 0  # bytes of the answer
         self.idle_since = 0.0
         self.counted = False
@@ -60,13 +72,15 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """It is up; with a high-water mark of 0 the loop says when the last byte has left."""
         transport.set_write_buffer_limits(high=0)
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE_MOST)
         self.transport, self.counted = transport, True
         self.pool.ready(self)
 
     def begin(self, attempt: Attempt, now: int) -> None:
         """Write an attempt's request."""
         self.attempt, attempt.link, self.received = attempt, self, 0
-        self.transport.write(pack_request(attempt, now))
+        for piece in pack_request(attempt, now):
+            self.transport.write(piece)
         attempt.whole = not self.transport.get_write_buffer_size() and not self.transport.is_closing()
 
     def pause_writing(self) -> None:
@@ -83,26 +97,65 @@
         self.received += len(data)
         try:
             self.reader.feed(data)
-            reply = self.reader.gets()
-            odd = reply is not False and self.reader.has_data()
-            if reply is False and self.received > ANSWER_MOST:
+            if self.reader.large:
+                self._stream()
+            if self.reply is False:
+                self.reply = self.reader.gets()
+            reply = False if self.reader.passing else self.reply
+            odd = reply is not False and (self.reader.has_data() or not self.reader.between)
+            if reply is False and not self.reader.passing and self.received > ANSWER_MOST:
                 raise hiredis.ProtocolError("answer too long")
         except hiredis.ProtocolError:
             reply, odd = None, True
-        attempt = self.attempt
-        if attempt and reply is False:
+        attempt, streamed = self.attempt, self in self.pool.hosts.streams
+        if (attempt or streamed) and reply is False:
             return
-        if odd or attempt is None or not attempt.whole:
+        self.reply = False
+        if odd or not (streamed or (attempt and attempt.whole)):
             self.abort()  # an answer to nothing, or before the end: what belongs to what is lost
         else:
             self.attempt = None
+            self.pool.hosts.streams.pop(self, None)
             self.pool.ready(self)
         if attempt:
             self.pool.hosts.replied(attempt, reply)
 
+    def _stream(self) -> None:
+        """Pass on what has come of a large value."""
+        hosts, large, attempt = self.pool.hosts, self.reader.large[0], self.attempt
+        if self not in hosts.streams:
+            if attempt and attempt.whole:
+                self.sink = hosts.driver.stream_started(attempt, large.length, self)
+            if self.sink is None:
+                raise hiredis.ProtocolError("a large value that nobody waits for")
+            self.attempt, hosts.streams[self] = None, None
+        if self.sink is None:
+            raise hiredis.ProtocolError("a second large value")
+        self.heard = hosts.loop.time()
+        for piece in large.take():
+            self.sink.piece(piece)
+        if not large.left:
+            self.reader.large.popleft()
+            self.received = 0
+            sink, self.sink = self.sink, None
+            sink.end()
+
+    def pause(self) -> None:
+        """The client is slow: what comes waits at the host."""
+        if not self.paused and not self.transport.is_closing():
+            self.paused = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        """The client reads again."""
+        if self.paused and not self.transport.is_closing():
+            self.paused, self.heard = False, self.pool.hosts.loop.time()
+            self.transport.resume_reading()
+
     def connection_lost(self, error: Exception | None) -> None:
         """The host closed it or the network broke it."""
         self._count_out()
+        self._break_off()
         attempt, self.attempt = self.attempt, None
         if attempt:
             # Guards rule 2: a reset may come after the host ran it, unless the last byte never left.
@@ -114,6 +167,14 @@
         self.attempt = None
         self._count_out()
         self.transport.abort()
+        self._break_off()
+
+    def _break_off(self) -> None:
+        """What is out of a large answer cannot be taken back."""
+        self.pool.hosts.streams.pop(self, None)
+        sink, self.sink = self.sink, None
+        if sink:
+            sink.fail()
 
     def _count_out(self) -> None:
         if self.counted:
@@ -205,7 +266,9 @@
         self.keep_idle = IDLE_PART * idle_close
         self.sockets = 0  # open or opening
         self.pools: dict[api.Server, Pool] = {}
+        self.streams: dict[Connection, None] = {}  # those with a large answer on them
         self._sweep()
+        self._look()
 
     def told(self, listed: HostList) -> list[Attempt]:
         """Follow discovery: idle connections to hosts that are gone or moved are closed. Guards rule 3: gives
@@ -271,6 +334,7 @@
         return {
             "host_conns": self.sockets,
             "host_conns_most": self.most,
+            "host_streams": len(self.streams),
             "host_idle": sum(len(pool.idle) for pool in self.pools.values()),
             "host_waiting": sum(len(pool.waiting) for pool in self.pools.values()),
         }
@@ -290,3 +354,10 @@
         for pool in self.pools.values():
             pool.close_idle(self.loop.time() - self.keep_idle)
         self.loop.call_later(self.keep_idle / SWEEPS, self._sweep)
+
+    def _look(self) -> None:
+        """Guards against a host that stops within a large answer: no deadline runs any more."""
+        before = self.loop.time() - SILENT_FOR
+        for connection in [c for c in self.streams if not c.paused and c.heard < before]:
+            connection.abort()
+        self.loop.call_later(SILENT_FOR / SWEEPS, self._look)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -258,6 +258,13 @@
             b"CALL.POST",
             b"0000000000000007",
             b"id",
+            b"c=bill,t=team,d=99,units=1,spread=2,first=0" + b"," * 65537,
+            b"B",
+        ],
+        [
+            b"CALL.PUT",
+            b"0000000000000007",
+            b"id",
             b"c=bill,t=team,d=99,units=1,spread=2,first=0",
             b"B" * 65537,
         ],
--- /dev/null
+++ b/tests/test_large.py
@@ -0,0 +1,289 @@
+"""Large values, up to 4 MiB: answers that stream, requests that are kept, and what they may take."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+
+import hiredis
+import pytest
+from conftest import FakeHost, Rig, asyncio_test, until
+
+from saffrongw import clients as clients_module
+from saffrongw import hosts as hosts_module
+from saffrongw.resp import LARGE_MOST, MARK, VALUE_MOST, Reader
+
+BIG = random.Random(5).randbytes(1_500_000)
+TERMS = b"c=put,t=team,d=9000,units=1,spread=2,first=0,k=key7"
+
+
+def answer(value: bytes, rest: bytes = b"$-1\r\n$21\r\nlatency_ms=9,util=0.5\r\n") -> bytes:
+    return b"*3\r\n$%d\r\n%b\r\n%b" % (len(value), value, rest)
+
+
+def post(body: bytes, number: bytes = b"id1", terms: bytes = TERMS) -> bytes:
+    return hiredis.pack_command((b"CALL.POST", b"0000000000000007", number, terms, body))
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_large_value_passes_the_parser_wherever_it_is_cut(seed):
+    draw = random.Random(seed)
+    bodies = [draw.randbytes(size) for size in (VALUE_MOST, VALUE_MOST + 1, 200_000, 3)]
+    data = b"".join(post(body, b"%d" % n) for n, body in enumerate(bodies))
+    reader = Reader(2 * VALUE_MOST, large_at=4, large_last=True)
+    commands, passed = [], []
+    while data:
+        size = draw.choice((1, 2, 3, 7, 50, 4096, 70_000))
+        reader.feed(data[:size])
+        data = data[size:]
+        for large in reader.large:
+            passed += large.take()
+        while (command := reader.gets()) is not False:
+            commands.append(command)
+    assert reader.between and reader.passing is None
+    assert [command[2] for command in commands] == [b"0", b"1", b"2", b"3"]
+    assert [command[4] for command in commands] == [bodies[0], MARK, MARK, bodies[3]]
+    assert b"".join(passed) == bodies[1] + bodies[2]
+    assert [large.length for large in reader.large] == [VALUE_MOST + 1, 200_000]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"*5\r\n" + b"$1\r\nx\r\n" * 4 + b"$%d\r\n" % (LARGE_MOST + 1),
+        b"*5\r\n" + b"$1\r\nx\r\n" * 3 + b"$%d\r\n" % (3 * VALUE_MOST),  # not the place for one
+        b"*6\r\n" + b"$1\r\nx\r\n" * 4 + b"$%d\r\n" % (3 * VALUE_MOST),  # not the last
+        b"$%d\r\n" % (3 * VALUE_MOST),
+        b"*5\r\n" + b"$1\r\nx\r\n" * 4 + b"$%d\r\n" % (3 * VALUE_MOST) + b"x" * (3 * VALUE_MOST) + b"\rx",
+    ],
+)
+def test_what_is_too_long_or_out_of_place_is_wrong(data):
+    reader = Reader(2 * VALUE_MOST, large_at=4, large_last=True)
+    reader.feed(data)
+    with pytest.raises(hiredis.ProtocolError):
+        while reader.gets() is not False:
+            pass
+
+
+@asyncio_test
+async def test_a_large_answer_streams_and_the_connection_is_used_again():
+    host = await FakeHost("a").listen()
+    rig = Rig(host)
+    caller = await rig.caller()
+    host.script = lambda command: answer(BIG) if command[2] == b"big" else answer(b"small")
+    for turn in range(3):
+        caller.call(number=b"big")
+        caller.call(number=b"other")
+        assert await caller.replied(2 * turn + 2) == [BIG, b"small"] * (turn + 1)
+        await until(lambda: not rig.hosts.streams)
+    assert rig.driver.stats["streamed"] == 3 and rig.hosts.streams == {}
+    assert len(host.connections) == rig.hosts.sockets <= 2
+    await until(lambda: rig.driver.calls == rig.driver.gateway.requests == rig.driver.gateway.attempts == {})
+
+
+@asyncio_test
+async def test_first_bytes_go_on_at_once_and_pieces_may_be_cut_anywhere():
+    host = await FakeHost("a").listen()
+    host.script = lambda command: None
+    rig = Rig(host)
+    await rig.clients.listen()
+    reader, writer = await asyncio.open_connection(*rig.clients.server.sockets[0].getsockname())
+    terms = b"c=read,t=team,d=500,units=1,spread=2,first=0"
+    writer.write(hiredis.pack_command((b"CALL.GET", b"0000000000000007", b"id", terms)))
+    await until(lambda: host.commands)
+    data = answer(BIG)
+    at = 0
+    for cut in (1, 5, 7, 12, 14, 200, 100_000, len(BIG) + 13, len(BIG) + 15, len(data)):
+        host.connections[0].transport.write(data[at:cut])
+        at = cut
+        await asyncio.sleep(0.06)  # longer than its deadline in all: that does not run any more
+        if cut == 200:
+            first = b"$%d\r\n" % len(BIG) + BIG[: 200 - 14]
+            assert await reader.readexactly(len(first)) == first
+    rest = BIG[200 - 14 :] + b"\r\n"
+    assert await reader.readexactly(len(rest)) == rest
+    writer.close()
+    await until(lambda: len(rig.hosts.pools[b"a"].idle) == 1)
+
+
+@asyncio_test
+async def test_a_host_that_breaks_off_ends_the_clients_connection_and_nothing_is_sent_again():
+    host = await FakeHost("a").listen()
+    host.script = lambda command: None
+    rig = Rig(host)
+    caller = await rig.caller()
+    caller.call()
+    await until(lambda: host.commands)
+    host.connections[0].transport.write(answer(BIG)[:100_000])
+    await until(lambda: rig.hosts.streams)
+    host.connections[0].transport.abort()
+    await until(lambda: caller.closed)
+    assert caller.replies == [] and len(host.commands) == 1
+    assert rig.driver.stats["stream_broken"] == 1 and rig.hosts.sockets == 0
+
+
+@asyncio_test
+async def test_a_host_that_falls_silent_within_an_answer_is_given_up(monkeypatch):
+    monkeypatch.setattr(hosts_module, "SILENT_FOR", 0.3)
+    host = await FakeHost("a").listen()
+    host.script = lambda command: answer(BIG)[:100_000]
+    caller = await Rig(host).caller()
+    caller.call()
+    await until(lambda: caller.closed)
+    await until(lambda: not host.connections)
+
+
+@asyncio_test
+async def test_a_client_that_reads_slowly_pauses_its_host_and_one_that_leaves_frees_it():
+    host = await FakeHost("a").listen()
+    value = random.Random(6).randbytes(LARGE_MOST)
+    host.script = lambda command: answer(value)
+    rig = Rig(host)
+    await rig.clients.listen()
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect(rig.clients.server.sockets[0].getsockname())
+    sock.setblocking(False)
+    terms = b"c=read,t=team,d=2000,units=1,spread=2,first=0"
+    await rig.loop.sock_sendall(sock, hiredis.pack_command((b"CALL.GET", b"0000000000000007", b"id", terms)))
+    await until(lambda: any(connection.paused for connection in rig.hosts.streams))
+    (client,) = rig.clients.open
+    assert client.transport.get_write_buffer_size() < 1_000_000
+    got = b""
+    while len(got) < 300_000:
+        got += await rig.loop.sock_recv(sock, 8192)
+    assert got == (b"$%d\r\n" % len(value) + value)[: len(got)]
+    assert rig.hosts.streams
+    sock.close()
+    await until(lambda: not rig.hosts.streams and not rig.hosts.sockets)
+    assert not rig.driver.stats["stream_broken"]  # the host did not
+
+
+@asyncio_test
+async def test_a_slow_reader_is_kept_as_long_as_it_reads(monkeypatch):
+    monkeypatch.setattr(clients_module, "UNREAD_FOR", clients_module.WHOLE_WITHIN + 0.6)
+    host = await FakeHost("a").listen()
+    value = random.Random(6).randbytes(LARGE_MOST)
+    host.script = lambda command: answer(value)
+    rig = Rig(host)
+    caller = await rig.caller()
+    (client,) = await asyncio.sleep(0.05) or rig.clients.open
+    client.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    client.transport.set_write_buffer_limits(high=1_000, low=0)  # it is seldom empty
+    caller.call(wait=2000)
+    for _ in range(40):
+        caller.transport.pause_reading()
+        await asyncio.sleep(0.1)
+        caller.transport.resume_reading()
+        await asyncio.sleep(0.002)
+    assert await caller.replied() == [value]
+
+
+@asyncio_test
+async def test_a_large_request_arrives_whole_and_may_go_again():
+    hosts = [await FakeHost(name).listen() for name in "ab"]
+    replies = [b"-BUSY\r\n", answer(b"done"), answer(b"small")]
+    for host in hosts:
+        host.script = lambda command: replies.pop(0)
+    rig = Rig(*hosts)
+    caller = await rig.caller()
+    free = rig.clients.room.free
+    data = post(BIG)
+    for at in range(0, len(data), 400_000):
+        assert not hosts[0].commands + hosts[1].commands
+        caller.transport.write(data[at : at + 400_000])
+        await asyncio.sleep(0.05)
+    caller.call(number=b"next")
+    assert await caller.replied(2) == [b"done", b"small"]
+    commands = [command for host in hosts for command in host.commands]
+    assert [command[4] for command in commands if command[2] == b"id1"] == [BIG, BIG]
+    assert rig.clients.room.free == free
+
+
+@asyncio_test
+async def test_bodies_wait_for_room_and_all_of_them_arrive():
+    host = await FakeHost("a").listen()
+    rig = Rig(host)
+    rig.clients.room.free = 2 * len(BIG) + 1
+    host.script = lambda command: answer(command[2])
+    callers = [await rig.caller() for _ in range(6)]
+    for number, caller in enumerate(callers):
+        caller.transport.write(post(BIG, b"id%d" % number)[:-10])
+    await until(lambda: len(rig.clients.room.waiting) == 4)
+    assert rig.clients.room.free == 1
+    callers[5].transport.close()  # one that waits leaves, and one that has room
+    callers[0].transport.close()
+    for number, caller in enumerate(callers[1:5], 1):
+        caller.transport.write(post(BIG, b"id%d" % number)[-10:])
+    for number, caller in enumerate(callers[1:5], 1):
+        assert await caller.replied() == [b"id%d" % number]
+    await until(lambda: rig.clients.room.free == 2 * len(BIG) + 1)
+    assert rig.clients.room.waiting == {} and len(host.commands) == 4
+
+
+@asyncio_test
+async def test_who_finds_no_room_for_long_is_told_that_trying_again_is_harmless(monkeypatch):
+    monkeypatch.setattr(clients_module, "ROOM_WITHIN", 0.3)
+    host = await FakeHost("a").listen()
+    rig = Rig(host)
+    rig.clients.room.free = 10
+    caller = await rig.caller()
+    caller.transport.write(post(BIG))
+    assert str((await caller.replied())[0]) == "BUSY"
+    await until(lambda: caller.closed)
+    assert rig.clients.room.free == 10 and host.commands == []
+
+
+@asyncio_test
+async def test_a_body_that_stops_or_dawdles_ends_in_time():
+    rig = Rig(await FakeHost("a").listen())
+    stops, dawdles = [await rig.caller() for _ in range(2)]
+    began, free = rig.loop.time(), rig.clients.room.free
+    for caller in (stops, dawdles):
+        caller.transport.write(post(BIG)[:1000])
+    while not (stops.closed and dawdles.closed):
+        dawdles.transport.write(b"x")
+        await asyncio.sleep(0.05)
+    assert str(stops.replies[0]).startswith("ERR") and str(dawdles.replies[0]).startswith("ERR")
+    assert rig.loop.time() - began < 4
+    await until(lambda: rig.clients.room.free == free)
+
+
+@pytest.mark.parametrize("more", [0, 1_000_000])
+@asyncio_test
+async def test_a_body_over_the_limit_gets_its_error_line(more):
+    host = await FakeHost("a").listen()
+    caller = await Rig(host).caller()
+    caller.transport.write(post(b"x" * (LARGE_MOST + 1 + more)))
+    assert str((await caller.replied())[0]).startswith("ERR")
+    await until(lambda: caller.closed)
+    assert host.commands == []
+
+
+@asyncio_test
+async def test_a_malformed_request_with_a_large_body_is_read_away_and_the_connection_kept():
+    host = await FakeHost("a").listen()
+    rig = Rig(host)
+    caller = await rig.caller()
+    free = rig.clients.room.free
+    caller.transport.write(post(BIG, terms=b"c=put") + hiredis.pack_command((b"PING",)))
+    replies = await caller.replied(2)
+    assert str(replies[0]).startswith("ERR") and replies[1] == b"PONG"
+    assert rig.clients.room.free == free and host.commands == []
+
+
+@asyncio_test
+async def test_the_end_waits_for_the_rest_of_a_large_answer():
+    host = await FakeHost("a").listen()
+    host.script = lambda command: answer(BIG)[:100_000]
+    rig = Rig(host)
+    caller = await rig.caller()
+    caller.call()
+    await until(lambda: rig.hosts.streams)
+    ending = asyncio.create_task(rig.clients.drain(0.1))
+    await asyncio.sleep(1.5)
+    assert not ending.done()
+    host.connections[0].transport.write(answer(BIG)[100_000:])
+    assert await caller.replied() == [BIG]
+    await ending
