Pace the calls to an overbooked discovery, with jitter: most gateways never got a list

Cause: gateways refused by discovery called again together once a second and were refused for 30 s and more.

With the pace taken out both tests fail.

--- a/saffrongw/__main__.py
+++ b/saffrongw/__main__.py
@@ -7,6 +7,7 @@
 import gc
 import logging
 import os
+import random
 import signal
 import sys
 from pathlib import Path
@@ -74,7 +75,7 @@
         driver.listed(hosts)
         told.set()
 
-    watch = Watch(loop, config.discovery, config.zones, listed)
+    watch = Watch(loop, config.discovery, config.zones, listed, draw=random.Random(config.seed).random)
     loop.add_signal_handler(signal.SIGHUP, functools.partial(reload, watch))
     watch.start()
     clients = Clients(driver, config, client_sockets)
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -5,13 +5,16 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
+from itertools import pairwise
 
 from conftest import SITE, FakeHost, Rig, asyncio_test, until
 
 from orchidlane import messages
+from saffrongw import discovery
 from saffrongw.config import parse_hosts
 from saffrongw.discovery import Watch
 from saffrongw.peers import Peers
@@ -30,6 +33,7 @@
 
     def __init__(self, answers: list) -> None:
         self.answers, self.asked, self.connections = answers, [], 0
+        self.at: list[float] = []  # when it was asked
 
     def connection_made(self, transport) -> None:
         self.transport = transport
@@ -38,7 +42,10 @@
     def data_received(self, data: bytes) -> None:
         self.asked.append(data.split()[1].decode())
         answer = self.answers.pop(0) if self.answers else None
-        if answer is not None:
+        self.at.append(asyncio.get_running_loop().time())
+        if isinstance(answer, int):
+            self.transport.write(b"HTTP/1.1 %d No\r\nContent-Length: 0\r\n\r\n" % answer)
+        elif answer is not None:
             body = answer if isinstance(answer, bytes) else json.dumps(answer).encode()
             self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
 
@@ -145,6 +152,45 @@
     assert agent.connections == 2
 
 
+@asyncio_test
+async def test_an_overbooked_discovery_is_called_ever_less_and_waited_at_again_once_it_answers(monkeypatch):
+    monkeypatch.setattr(discovery, "PACE", 0.1)
+    monkeypatch.setattr(discovery, "PACE_MOST", 0.8)
+    whole = {"seq": 5, "whole": True, "hosts": [line("a")]}
+    empty = {"seq": 5, "whole": False, "hosts": []}
+    agent, told = await watched([503] * 5 + [whole] + [empty] * 9)
+    await until(lambda: len(agent.asked) >= 14)
+    gaps = [after - before for before, after in pairwise(agent.at)]
+    assert [gap >= least for gap, least in zip(gaps, (0.1, 0.2, 0.4, 0.8, 0.8), strict=False)] == [True] * 5
+    assert len(told) == 1 and agent.connections == 6
+    waits = [int(asked.split("wait=")[1]) for asked in agent.asked[6:]]
+    # What it gives back of its pace with each answer: 0.8 s, 0.56, 0.39 and so on, to less than the first.
+    paced = 1
+    while 0.8 * discovery.RELIEF ** (paced - 1) > 0.1:
+        paced += 1
+    assert waits == [0] * (paced - 1) + [2000] * (len(waits) - paced + 1)
+
+
+def test_gateways_that_are_refused_together_do_not_come_back_together():
+    spans = set()
+    for seed in range(8):
+        watch = Watch(Later(spans), ("127.0.0.1", 1), ZONES, list, draw=random.Random(seed).random)
+        watch.strained()
+        watch._later()
+    assert len(spans) == 8
+    assert all(discovery.PACE / 2 <= span <= discovery.PACE for span in spans)
+
+
+class Later:
+    """A loop that only notes how long it is asked to wait."""
+
+    def __init__(self, spans: set[float]) -> None:
+        self.spans = spans
+
+    def call_later(self, span: float, *call) -> None:
+        self.spans.add(span)
+
+
 @asyncio_test
 async def test_an_answer_after_which_the_agent_closes_counts():
     body = json.dumps({"seq": 5, "whole": True, "hosts": [line("a")]}).encode()
