--- a/saffrongw/__main__.py
+++ b/saffrongw/__main__.py
@@ -27,6 +27,7 @@
 
 ACCEPT_FOR = 0.5  # seconds after SIGTERM in which new connections are still served
 SPARE = 48  # descriptors for all but clients and hosts: the loop, the watch, peers, logs, operators
+OVERLAP = 24  # more of them while the process before this one finishes: both share the limit
 CLIENT_PART = 1 / 3  # of all descriptors: clients may hold no more
 
 
@@ -92,7 +93,8 @@
 
         def share(its_clients: int, its_hosts: int) -> None:
             clients.most = max(1, client_sockets - its_clients)
-            driver.hosts.most = max(1, host_sockets - its_hosts)
+            both = OVERLAP if elder.channel else 0
+            driver.hosts.most = max(1, host_sockets - its_hosts - both)
 
         elder.share = share
         elder.hear(control)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -203,3 +203,23 @@
     assert str((await caller.replied())[0]) == "BUSY"  # harmless to send again: it has not run
     await until(lambda: caller.closed)
     assert host.commands == []
+
+
+@asyncio_test
+async def test_the_end_comes_as_usual_during_a_drain_and_cannot_be_undone():
+    host = await FakeHost("a").listen()
+    host.script = lambda command: None
+    rig = Rig(host)
+    control = await controlled(rig)
+    caller = await rig.caller()
+    caller.call(wait=10_000)
+    await until(lambda: host.commands)
+    await call(control, b"LEAVE")
+    ending = asyncio.create_task(rig.clients.drain(0.1))
+    await asyncio.sleep(0.3)
+    assert (await call(control, b"JOIN")).startswith("error ending")
+    assert (await call(control, b"HEALTH")).startswith("error ending")
+    assert not ending.done()
+    host.connections[0].transport.write(b"*1\r\n$4\r\nlast\r\n")
+    assert await caller.replied() == [b"last"]
+    await ending
