Ask the keeper before a first send in a set too wide for gossip, or short of rights

Each first send and refusal was logged with the room believed, and a true store per customer replayed over all logs: 99% of quota refusals were of closed customers (hysteresis of _lift), over-sends were of gateways that had heard nothing (_refusal's share for a fresh customer), 2,674 of 4,000 refusals of large-user were for want of ceiling rights while the keeper had some. Ruled out: lost messages (4%), messages beyond intake (45 a second of 100).

At fault: _refusal decided on news that takes (size-1)*INTERVAL to come round; _count added a whole count that a stand-in keeper heard of late; _wanted forgot questions still out, so rights given were lost.

--- a/orchidlane/handover.py
+++ b/orchidlane/handover.py
@@ -179,5 +179,5 @@
         int(spread),
         ceiling,
         asked,
-        closed is True,
+        closed=closed is True,
     )
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -28,6 +28,10 @@
 ANSWER_WITHIN = 200 * MS  # a keeper not heard for so long is asked to answer as soon; else the next is told
 KEEPER_STRIDE = 2_654_435_761  # spreads customers over the gateways of their sets
 KEEPERS = 3  # gateways of a set that are tried
+ASK_WITHIN = 100 * MS  # a request of a wide set waits no longer for its keeper's word
+NEW_TICKS = 1000 // messages.TICK  # a count heard of first that began earlier is within a total already
+ASKS = 2  # times that a request waits: the question or the answer may be lost
+MISSES = 2  # questions in a row without an answer make a keeper silent for a while: one may be lost
 
 # Servers
 BASE = 2.0  # requests a server is taken to hold besides those known: keeps first guesses level
@@ -89,27 +93,53 @@
             return self._end(request)
         first = not request.attempts
         if first and (cause := self._refusal(request)):
-            return self._end(request, cause)
+            held = cause is Cause.CEILING and self._ask_keeper(request, 1)  # only the first one gives rights
+            return None if held else self._end(request, cause)
         host = self._choose(request)
         if host is None:
             span = min(HOLD, last_call - self.now)
             return self.actions.append(api.SetTimer(span, request.event.request + 1))
-        slow = first and self._expected(host, request.event.kind) > self._patience(request)
+        # Who has the keeper's word goes: it is counted in there already.
+        slow = (
+            first and not request.told and self._expected(host, request.event.kind) > self._patience(request)
+        )
         if slow and host.entry.server not in self.returned:
             if host.out or self.now < self.next_try:
                 return self._end(request, Cause.SLOW)
             self.next_try = self.now + START_OF_AIM * request.cls.aim  # who sends nothing learns nothing
+        if first and self._is_wide(request.account) and self._ask_keeper(request, KEEPERS):
+            return None
         return self._send(request, host)
 
+    def _ask_keeper(self, request: Request, most: int) -> bool:
+        """Where only a keeper knows what is spent, or has rights to give, a request waits for its word, but
+        shortly."""
+        event, account = request.event, request.account
+        if request.told or request.asks >= ASKS:
+            return False
+        keepers = range(min(most, account.size))
+        again = request.asks > 0
+        number = next((n for n in keepers if not self._is_silent(self._keeper(account, n), again)), None)
+        if number is None:
+            return False
+        rank = self._keeper(account, number)
+        account.waiting[event.request] = event.units
+        ceiling = self.s.plans[account.plan].ceiling_rate
+        wanted = self._wanted(account) if ceiling else sum(account.waiting.values())
+        row = self._row(account, 0, wanted, own=True)
+        if rank == self.rank or not self._tell(rank, [row], account.customer, -1, keep=True):
+            del account.waiting[event.request]
+            return False
+        request.asked, request.asks = number, request.asks + 1
+        self.actions.append(api.SetTimer(ASK_WITHIN, event.request + 1))
+        return True
+
     def _refusal(self, request: Request) -> Cause | None:
         """Quota, open cap and ceiling: the ordinary path of every first send."""
         event = request.event  # the entry is looked up anew: a held request may outlive an idle one
         account = self._account(event.customer, event.plan, event.set_first, event.set_size, trusted=True)
         plan, request.account = self.s.plans[account.plan], account
         self._lift(account)
-        if plan.ceiling_rate and account.ceiling < event.units:
-            self._tell_keeper(account, 0)
-            return Cause.CEILING
         if plan.open:  # what others approved lately is taken to be out for as long as usual
             others = sum(self.now - at < self.usual[event.kind] for at in account.others)
             if account.out + others >= plan.open:
@@ -117,7 +147,9 @@
         room = account.room
         if account.fresh and self.rank in account.counts:  # unheard: a share, at least one request
             room = min(room, plan.burst / account.size - account.counts[self.rank][1])
-        return Cause.QUOTA if plan.rate and (account.closed or room < event.units) else None
+        if plan.rate and (account.closed or room < event.units):
+            return Cause.QUOTA
+        return Cause.CEILING if plan.ceiling_rate and account.ceiling < event.units else None
 
     def _patience(self, request: Request) -> float:
         """The longest expected answer time at which a request is let in: it must still be in time."""
@@ -180,7 +212,7 @@
     def _send(self, request: Request, host: Host) -> None:
         """Every send passes here."""
         if not request.attempts:
-            self._spend(request.account, request.event.units)
+            self._spend(request)
         if not host.out:
             host.active = self.now
         self.begin(request, Attempt(host, self.now, host.out + BASE))
@@ -228,6 +260,8 @@
     def _drop(self, request: Request) -> None:
         """Nothing more is owed: forget the request and call off what is still out."""
         self.requests.pop(request.event.request, None)
+        if request.account:
+            request.account.waiting.pop(request.event.request, None)
         if self.s.may_cancel and request.out:
             self.actions.append(api.Cancel(request.event.request, len(request.attempts) - 1))
 
@@ -317,20 +351,28 @@
         # Debt: what went beyond the quota took nothing from the true store, so the limit never lies below.
         limit = max(account.total, account.limit + plan.rate * share * span / SECOND)
         account.limit = min(limit, account.total + burst)
-        account.closed = account.room < (REOPEN if account.closed else CLOSE) * burst
+        nearly = account.room < (REOPEN if account.closed else CLOSE) * burst
+        account.closed = nearly and not self._is_wide(account)  # its keeper is asked instead
 
     def _ceiling_part(self, account: Account) -> float:
         """Rule 5: each gateway alone fills its part of the ceiling's store, from nothing at its start. Half
         is the first keeper's, who gives of it what others want: it takes that off before it tells them."""
         return (1 + account.size * (self._keeper(account) == self.rank)) / (2 * account.size)
 
-    def _spend(self, account: Account, units: float) -> None:
+    def _is_wide(self, account: Account) -> bool:
+        """Whether news of it takes longer to go round its set than its burst takes to come back."""
+        plan = self.s.plans[account.plan]
+        return not self.alone and INTERVAL * (account.size - 1) * plan.rate > plan.burst * SECOND
+
+    def _spend(self, request: Request) -> None:
+        account, units = request.account, request.event.units
         start, value = account.counts.get(self.rank, (self.now // MS // messages.TICK, 0.0))
         account.total += self._count(account, self.rank, start, value + units)
         account.ceiling -= units if self.s.plans[account.plan].ceiling_rate else 0.0
         if account.size > 1 and not self.alone:
             self.changed[account.customer] = None
-            self._tell_keeper(account, 0)
+            if not request.told or self.s.plans[account.plan].ceiling_rate:  # else it is counted in already
+                self._tell_keeper(account, request.asked)
 
     def _count(self, account: Account, rank: int, start: int, value: float) -> float:
         """Newer start, then larger value; what was spent in an earlier life stays spent. The growth."""
@@ -359,22 +401,36 @@
             return
         if rank != self.rank:
             self._lift(account)
-            most = self.s.plans[account.plan].ceiling_burst * self._ceiling_part(account)
-            account.asked = max(0.0, most - account.ceiling)
-            asks = account.fresh or account.asked or self.now - self.heard.get(rank, 0) > ANSWER_WITHIN
-            row = self._row(account, 0, account.asked)
+            wanted = self._wanted(account)
+            asks = account.fresh or wanted or self.now - self.heard.get(rank, 0) > ANSWER_WITHIN
+            row = self._row(account, 0, wanted)
             self._tell(rank, [row], account.customer, number if asks else None, keep=True)
         elif account.fresh:
             self._tell_keeper(account, number + 1)
         else:
             self._keep(account)
 
+    def _wanted(self, account: Account) -> float:
+        """What there is room for of a ceiling's rights; several questions may be out."""
+        burst = self.s.plans[account.plan].ceiling_burst
+        wanted = max(0.0, burst * self._ceiling_part(account) - account.ceiling)
+        account.asked = min(burst, account.asked + wanted)
+        return wanted
+
+    def _is_silent(self, rank: int, again: bool) -> bool:
+        """Whether it left questions unanswered; it is tried anew now and then, once a request."""
+        misses, last = self.missed.get(rank, (0, 0))
+        return misses >= MISSES and (again or self.now - last < FORGET)
+
     def _answer_due(self) -> None:
         """Guards against cuts and dead keepers: no answer in time is told to the next keeper."""
         at, rank, customer, number = self.asked.popleft()
         if self.now - at > 2 * ANSWER_WITHIN:  # we stood still ourselves: nothing is known of the other
             return
-        if self.heard.get(rank, -1) < at and number >= 0 and (account := self.accounts.get(customer)):
+        if self.heard.get(rank, -1) >= at:
+            return
+        self.missed[rank] = self.missed.get(rank, (0, 0))[0] + 1, self.now
+        if number >= 0 and (account := self.accounts.get(customer)):
             self._tell_keeper(account, number + 1)
 
     def _keep(self, account: Account) -> None:
@@ -427,9 +483,12 @@
         self.actions.append(api.TellPeer(rank, body))
         return True
 
-    def _row(self, account: Account, reach: int, rights: float = 0.0) -> bytes:
+    def _row(self, account: Account, reach: int, rights: float = 0.0, own: bool = False) -> bytes:
         self._lift(account)
-        counts = tuple((rank, *account.counts[rank]) for rank in account.news)
+        news = (
+            (*account.news, self.rank)[-NEWS_MOST:] if own and self.rank in account.counts else account.news
+        )
+        counts = tuple((rank, *account.counts[rank]) for rank in dict.fromkeys(news))
         row = messages.Row(account.customer, *account.key, reach, account.room, account.total, rights, counts)
         return messages.pack_row(row, self.now // MS, self.s.gateways)
 
@@ -439,6 +498,7 @@
         if self.alone or not 0 <= event.sender < self.s.gateways or abs(age) >= LATE_MOST:
             return
         self.heard[event.sender] = self.now
+        self.missed.pop(event.sender, None)
         merged = []
         for row in message.rows:
             if self._place(self.rank, row.set_first) < row.set_size:
@@ -447,10 +507,32 @@
                 self._hand_on(account, min(row.reach, account.size - 1))
                 if message.keep:
                     self._keep(account)
+                else:
+                    self._answered(account, event.sender)
         if message.ask:
-            rows = (self._row(account, 0, self._give(account, wanted)) for account, wanted in merged)
+            rows = (self._answer(account, event.sender, wanted, message.keep) for account, wanted in merged)
             self._tell(event.sender, messages.fit(rows))
 
+    def _answered(self, account: Account, sender: int) -> None:
+        """The keeper's word has come for the request that waits longest."""
+        for request in map(self.requests.get, account.waiting):
+            if request and self._keeper(account, request.asked) == sender:
+                request.told = True
+                del account.waiting[request.event.request]
+                return self._advance(request)
+
+    def _answer(self, account: Account, rank: int, wanted: float, keep: bool) -> bytes:
+        """Who is told that there is room will use it: counted in at once, or others would be told of it too.
+        Where it asks once more it has not, so that is taken back."""
+        if keep:
+            held, at = account.promised.pop(rank, (0.0, 0))
+            account.total -= held * (self.now - at < ASKS * ASK_WITHIN)
+        row = self._row(account, 0, self._give(account, wanted))
+        if self._is_wide(account) and not self.s.plans[account.plan].ceiling_rate and wanted <= account.room:
+            account.promised[rank] = wanted, self.now
+            account.total += wanted
+        return row
+
     def _give(self, account: Account, wanted: float) -> float:
         """Rights of a ceiling, off our part before they are told, so that loss is safe."""
         given = min(account.ceiling, wanted) if self._keeper(account) == self.rank else 0.0
@@ -466,8 +548,13 @@
         account.ceiling, account.asked = account.ceiling + given, account.asked - given
         for rank, start, value in row.counts:
             if rank != self.rank:  # our own count is ours; an earlier life's is within the total
+                new = rank in account.counts or self.now // MS // messages.TICK - start < NEW_TICKS
                 grown = self._count(account, rank, start, value)
-                told += grown * (rank == sender and keep)
+                promised, at = account.promised.get(rank, (0.0, 0))
+                known = min(grown, promised)
+                if known:
+                    account.promised[rank] = promised - known, at
+                told += (grown - known) * (rank == sender and keep and new)
                 if grown:
                     account.others = (*account.others, self.now)[-max(1, plan.open) :]
         if told:  # what is spread reaches all without
@@ -485,7 +572,7 @@
             self._lift(account := self.accounts[customer])
             plan = self.s.plans[account.plan]
             full = account.ceiling >= plan.ceiling_burst / account.size and account.room >= plan.burst
-            if account.out or not full:
+            if account.out or account.waiting or not full:
                 self.idle_queue.append(customer)
                 continue
             del self.accounts[customer]
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -29,6 +29,9 @@
     spread: int = 0  # when its set was last told
     ceiling: float = 0.0  # units that its ceiling lets us send
     asked: float = 0.0  # rights asked for and not yet given
+    waiting: dict[int, float] = field(default_factory=dict)  # units of requests that await a keeper's word
+    # By rank: units that are counted in and not yet told as spent, since when.
+    promised: dict[int, tuple[float, int]] = field(default_factory=dict)
     closed: bool = False  # it was fast and spent nearly all: refused until a good part is back
 
     @property
@@ -129,7 +132,10 @@
     cls: api.RequestClass
     until: int
     lot: float = 0.0  # drawn anew for each attempt: which cold server it may try
-    account: Account | None = None  # known once it is admitted
+    account: Account | None = None  # known once it is looked at
+    asked: int = 0  # the number of the keeper that was asked last
+    asks: int = 0  # times that one was asked
+    told: bool = False  # it has answered
     attempts: list[Attempt] = field(default_factory=list)
 
     @property
@@ -154,6 +160,7 @@
         self.idle_queue: deque[int] = deque()  # customers, in the order of their next look
         self.changed: dict[int, None] = {}  # customers whose counts changed since they were told
         self.heard: dict[int, int] = {}  # rank -> when it was last heard
+        self.missed: dict[int, tuple[int, int]] = {}  # rank -> questions left without an answer, the last one
         self.asked: deque[tuple[int, int, int, int]] = deque()  # when, rank, customer, which keeper
         self.hosts: dict[api.Server, Host] = {}
         self.names: dict[api.Server, None] = {}  # ever listed; the one listed anew last stands last
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 import functools
 import json
 import os
+import random
 import socket
 import sys
 
@@ -123,6 +124,64 @@
         return self.feed(api.AttemptEnded(request, attempt, server, outcome, took, answered, 0, 0.0, ()))
 
 
+class Fleet:
+    """Gateways that hear each other a while later; hosts answer each request at once."""
+
+    LATER = 10_000  # microseconds until a message arrives
+    STEP = 1_000
+
+    def __init__(self, gateways: int, seed=1, loss=0.0, servers=4, **changes) -> None:
+        self.random, self.loss, self.asked, self.messages = random.Random(seed), loss, 0, 0
+        changes |= {"gateways": gateways}
+        self.benches = [Bench(servers, seed=seed + i, rank=i, **changes) for i in range(gateways)]
+        self.now, self.dead = T0, set()
+        self.on_way: list[tuple[int, int, int, bytes]] = []  # when, from, to, what
+        self.answers: dict[int, api.Action] = {}  # by request: sent, or refused
+        for rank, bench in enumerate(self.benches):
+            self._carry(rank, bench.log)
+
+    def _carry(self, rank: int, actions) -> None:
+        for action in actions:
+            if isinstance(action, api.TellPeer):
+                self.messages += 1
+                if self.random.random() >= self.loss:
+                    self.on_way.append((self.now + self.LATER, rank, action.peer, action.body))
+            elif isinstance(action, api.Send):
+                self.answers[action.request] = action
+                self._carry(
+                    rank, self.benches[rank].outcome(action.request, action.server, api.Outcome.SERVED)
+                )
+            elif isinstance(action, api.Refuse | api.Fail):
+                self.answers[action.request] = action
+
+    def ask(self, rank: int, **request) -> int:
+        """A request at one gateway; its number."""
+        self.asked += 1
+        self._carry(rank, self.benches[rank].ask(self.asked, **request))
+        return self.asked
+
+    def run(self, span: int) -> None:
+        """Let time pass everywhere."""
+        end = self.now + span
+        while self.now < end:
+            self.now += self.STEP
+            for rank, bench in enumerate(self.benches):
+                bench.now = bench.now if rank in self.dead else self.now
+                if rank not in self.dead and bench.timers and min(bench.timers)[0] <= self.now:
+                    self._carry(rank, bench.run(0))
+            due, self.on_way = (
+                [m for m in self.on_way if m[0] <= self.now],
+                [m for m in self.on_way if m[0] > self.now],
+            )
+            for _, sender, rank, body in due:
+                if rank not in self.dead:
+                    self._carry(rank, self.benches[rank].feed(api.PeerMessage(sender, body)))
+
+    def sent(self) -> list[int]:
+        """The requests that were sent on."""
+        return [number for number, answer in self.answers.items() if isinstance(answer, api.Send)]
+
+
 def of(actions, kind) -> list:
     """The actions of one kind."""
     return [a for a in actions if isinstance(a, kind)]
