Keep a common mark for servers that have just started: a zone that came back was refused

All attempts of all gateways were put on one time axis by host.

Ruled out: the draw of cold hosts (_cold_one drew them as often as the rule allows; the refusal came after it), and discovery (all gateways knew of them within 1 s). At fault: _expected took for an unmet host the mark of the whole fleet, so a host that had just started was as slow as those in the jam, in each of 40 gateways anew.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -13,7 +13,7 @@
 from . import interface as api
 from . import messages
 from .interface import Cause, Effect, Group, ListKind, Outcome
-from .state import Account, Attempt, Host, Memory, Request
+from .state import Account, Attempt, Host, Known, Memory, Request
 
 MS, SECOND = 1_000, 1_000_000  # microseconds
 
@@ -299,24 +299,28 @@
 
     def _expected(self, host: Host, kind: int) -> float:
         """The expected answer time: what requests met there, how the load changed, how long it is quiet."""
-        fleet, _ = self.met.marks(self.now, FORGET)
+        fleet, _ = self._met_by(host).marks(self.now, FORGET)
         (slow, typical), fails = host.marks(self.now, FORGET, fleet)  # not met lately: like all the others
         time = self.usual[kind] * slow * (1 + FAIL_WEIGHT * fails) * (host.out + BASE) / typical
         if host.out:  # guards against a stalling or dead server: it answers nobody
             time = max(time, self.now - host.active)
         return time
 
+    def _met_by(self, host: Host) -> Known:
+        """What all servers like this one met: one that has just started stood in no jam before."""
+        return self.met if self._is_warm(host) else self.met_cold
+
     def _learn(self, attempt: Attempt, kind: int, event: api.AttemptEnded) -> None:
         """Each outcome tells of its server; a mark fades unless renewed, so that traffic returns gently."""
-        host, zone = attempt.host, self.zones_met[attempt.host.entry.zone]
-        for known in (host, zone, self.met):
+        host, zone, met = attempt.host, self.zones_met[attempt.host.entry.zone], self._met_by(attempt.host)
+        for known in (host, zone, met):
             known.fade(self.now, FORGET)
         if event.outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.FULL):
             host.active = self.now
             self.returned.pop(event.server, None)
         if event.outcome in (Outcome.SERVED, Outcome.TIMED_OUT):
             # Guards against a jam of all servers, where a gateway meets each of them too seldom to learn.
-            for known in (host, self.met):
+            for known in (host, met):
                 known.slow += LEARN * (min(SLOW_MOST, event.took / self.usual[kind]) - known.slow)
                 known.typical += LEARN * (attempt.load - known.typical)
             # Capped, so that in a jam an idle server still seems worth a try and the end of it is noticed.
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -166,7 +166,7 @@
         self.names: dict[api.Server, None] = {}  # ever listed; the one listed anew last stands last
         self.banned: dict[api.Server, None] = {}  # taken out by operators
         self.returned: dict[api.Server, tuple[int, int]] = {}  # put back: until when, from when to try it
-        self.met = Known(0)  # by all servers together
+        self.met, self.met_cold = Known(0), Known(0)  # by all servers together that are warm / cold
         self.zones_met: dict[int, Known] = {}  # by those of one zone
         self.warm, self.cold = Pool(), Pool()
         self.cells: dict[int, Pool] = {}
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from conftest import SECOND, Bench, entry, listed, of
+from conftest import SECOND, T0, Bench, entry, listed, of
 
 from orchidlane import interface as api
 from orchidlane.interface import Outcome
@@ -192,3 +192,19 @@
     bench = Bench(servers=0)
     bench.feed(listed(entry(0), *(entry(i, launched=bench.now) for i in range(1, 200))))
     assert [s.server for s in of(bench.ask(1), api.Send)] == [entry(0).server]
+
+
+def test_a_server_that_has_just_started_is_not_taken_to_stand_in_the_jam_of_the_others():
+    """A zone that came back was refused as slow, unmet, for 15 s: by the mark of the zone that had jammed."""
+    bench = Bench(servers=30, warm_within=17 * SECOND)
+    fresh = {e.server: e for e in (entry(n, zone=1, launched=T0 + SECOND) for n in range(100, 130))}
+    served = 0
+    for i in range(1, 301):
+        bench.now += 50_000
+        if i == 100:  # the jam of the others goes on
+            bench.feed(listed(*fresh.values(), kind=api.ListKind.CHANGES))
+        for send in of(bench.ask(i, customer=i, size=1), api.Send):
+            served += send.server in fresh
+            took = 100_000 if send.server in fresh else 1_500_000
+            bench.outcome(i, send.server, Outcome.SERVED, took=took)
+    assert served > 40
