Prefer servers at which a connection of ours is free: thin traffic paid for handshakes

Ruled out: connections closed too early (idle ones are kept 9 s; a gateway met a host every 8 to 12 s). At fault: _cost knew nothing of connections, so the draw of 12 among 60 spread 5 attempts a second over all of them.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -41,6 +41,8 @@
 SLOW_MOST = 8.0  # times the idle answer time that one answer may count for
 FAIL_WEIGHT = 3.0  # an attempt that failed makes a server look this much slower
 CHOICES = 12  # servers compared for one request
+HANDSHAKE = 0.5  # dearer is a server at which no connection of ours is free: as one more request there
+KEPT_FOR = 5 * SECOND  # a connection is taken to stay open so long after its last answer
 SPREAD = 0.1  # random part of a comparison, against herding of gateways
 BACK_FOR, BACK_EVERY = 5 * SECOND, SECOND  # a server put back is tried until it served / so often
 BACK_SPREAD = 50 * MS  # for each gateway: all of them together don't try it at once
@@ -168,6 +170,8 @@
 
     def _cost(self, request: Request, host: Host) -> float:
         cost = self._expected(host, request.event.kind) * (1 + SPREAD * self.random.random())
+        if host.out >= host.kept or self.now - host.active >= KEPT_FOR:
+            cost *= 1 + HANDSHAKE
         cost *= 1 + FAIL_WEIGHT * self.zones_met[host.entry.zone].marks(self.now, FORGET)[1]
         return cost * (1 + FAIL_WEIGHT * any(a.host is host for a in request.attempts))
 
@@ -214,6 +218,7 @@
         if not request.attempts:
             self._spend(request)
         if not host.out:
+            host.kept = host.kept if self.now - host.active < KEPT_FOR else 0
             host.active = self.now
         self.begin(request, Attempt(host, self.now, host.out + BASE))
         request.lot = self.random.random()
@@ -318,6 +323,9 @@
         if event.outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.FULL):
             host.active = self.now
             self.returned.pop(event.server, None)
+            host.kept = max(host.kept, host.out + 1)
+        elif host.out == 0:
+            host.kept = 0  # cut off, with all that it had
         if event.outcome in (Outcome.SERVED, Outcome.TIMED_OUT):
             # Guards against a jam of all servers, where a gateway meets each of them too seldom to learn.
             for known in (host, met):
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -84,6 +84,7 @@
     entry: api.ServerEntry = field(kw_only=True)
     out: int = 0
     active: int = 0  # last answer, or when the first of those out was sent
+    kept: int = 0  # connections that it answered on of late
 
     def shares(self, group: api.Group) -> int:
         """What two servers have in common that drop each other's repeats."""
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -208,3 +208,43 @@
             took = 100_000 if send.server in fresh else 1_500_000
             bench.outcome(i, send.server, Outcome.SERVED, took=took)
     assert served > 40
+
+
+def thin_traffic(servers: int, seed: int = 1, rank: int = 0) -> tuple[int, set[bytes]]:
+    """Sends of 20 s to a server without an answer in the last 5 s, and the servers used in the last 10 s."""
+    bench = Bench(servers=servers, seed=seed, rank=rank, gateways=40)
+    last, fresh, used = {}, 0, set()
+    for i in range(1, 101):
+        bench.now += 200_000
+        for send in of(bench.ask(i, customer=i, size=1, first=rank), api.Send):
+            fresh += bench.now - last.get(send.server, 0) >= 5 * SECOND
+            last[send.server] = bench.now
+            used |= {send.server} if i > 50 else set()
+            bench.outcome(i, send.server, Outcome.SERVED, took=50_000)
+    return fresh, used
+
+
+def test_a_gateway_with_thin_traffic_keeps_to_servers_at_which_it_has_a_connection():
+    """Each of 40 gateways met 60 hosts in turn: nearly half of all attempts paid for a handshake."""
+    fresh, used = thin_traffic(60)
+    assert fresh <= 20
+    assert 4 <= len(used) <= 25
+
+
+def test_what_gateways_with_thin_traffic_keep_to_differs_and_leaves_no_server_out():
+    used = [thin_traffic(60, seed=rank, rank=rank)[1] for rank in range(40)]
+    met = {server: sum(server in u for u in used) for server in set.union(*used)}
+    assert len(met) == 60
+    assert max(met.values()) <= 4 * sum(met.values()) / 60
+
+
+def test_a_server_whose_connections_broke_is_no_longer_preferred():
+    bench = Bench(servers=2)
+    (send,) = of(bench.ask(1, size=1), api.Send)
+    bench.outcome(1, send.server, Outcome.SERVED, took=50_000)
+    host = bench.gateway.hosts[send.server]
+    assert host.kept == 1
+    (send,) = of(bench.ask(2, size=1), api.Send)
+    assert bench.gateway.hosts[send.server] is host
+    bench.outcome(2, send.server, Outcome.BROKEN, answered=True)
+    assert host.kept == 0
