Let attempts out tell of a jam that grows: thin traffic learnt of it from late answers

Each gateway has 0 or 1 out at a host, so a host's own load says nothing, and answers come 3 to 5 s late.

At fault: _expected follows the load at one host only. Now the number of attempts out, against the number that answers were met under, makes the expected time longer where fewer are out than there are servers.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -34,6 +34,7 @@
 MISSES = 2  # questions in a row without an answer make a keeper silent for a while: one may be lost
 
 # Servers
+CROWD = 8.0  # attempts out here besides those known, so that a few more or less mean little
 BASE = 2.0  # requests a server is taken to hold besides those known: keeps first guesses level
 START_OF_AIM = 0.25  # of the aim that an idle server is first thought to need
 LEARN = 0.15  # weight of the newest answer time
@@ -64,7 +65,7 @@
         self.s, self.random, self.now, self.filled = settings, random.Random(seed), now, now
         self.rank, self.alone = settings.rank, not settings.may_tell_peers
         self.usual = [START_OF_AIM * c.aim for c in settings.classes]
-        self.budget, self.next_try = REPEAT_MOST, 0.0
+        self.budget, self.next_try, self.crowd = REPEAT_MOST, 0.0, CROWD
         self.allowance = self.per_second = INTAKE_SHARE * settings.peer_intake
 
     def start(self) -> list[api.Action]:
@@ -220,7 +221,7 @@
         if not host.out:
             host.kept = host.kept if self.now - host.active < KEPT_FOR else 0
             host.active = self.now
-        self.begin(request, Attempt(host, self.now, host.out + BASE))
+        self.begin(request, Attempt(host, self.now, host.out + BASE, len(self.attempts)))
         request.lot = self.random.random()
         self.actions.append(api.Send(request.event.request, host.entry.server, request.until))
 
@@ -307,6 +308,10 @@
         fleet, _ = self._met_by(host).marks(self.now, FORGET)
         (slow, typical), fails = host.marks(self.now, FORGET, fleet)  # not met lately: like all the others
         time = self.usual[kind] * slow * (1 + FAIL_WEIGHT * fails) * (host.out + BASE) / typical
+        if self._is_warm(host) and len(self.attempts) < len(self.warm.hosts):
+            # Too few are out for a server's own to tell its load: a jam that grows shows in all of them, long
+            # before the answers tell of it.
+            time *= max(1.0, (len(self.attempts) + CROWD) / (self.crowd + CROWD))
         if host.out:  # guards against a stalling or dead server: it answers nobody
             time = max(time, self.now - host.active)
         return time
@@ -327,6 +332,7 @@
         elif host.out == 0:
             host.kept = 0  # cut off, with all that it had
         if event.outcome in (Outcome.SERVED, Outcome.TIMED_OUT):
+            self.crowd += LEARN * (attempt.crowd - self.crowd)
             # Guards against a jam of all servers, where a gateway meets each of them too seldom to learn.
             for known in (host, met):
                 known.slow += LEARN * (min(SLOW_MOST, event.took / self.usual[kind]) - known.slow)
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -121,6 +121,7 @@
     host: Host
     sent: int
     load: float
+    crowd: int = 0  # attempts that were out here
     out: bool = True
     ran: bool = True
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -248,3 +248,19 @@
     assert bench.gateway.hosts[send.server] is host
     bench.outcome(2, send.server, Outcome.BROKEN, answered=True)
     assert host.kept == 0
+
+
+def test_a_jam_that_grows_shows_before_its_answers_come():
+    """Half the hosts were lost: 40 gateways let in 3 s of requests more before answers told."""
+    bench = Bench(servers=60)
+    for i in range(1, 41):  # as usual: answers come, and few are out
+        for send in of(bench.ask(i, customer=i, size=1), api.Send):
+            bench.outcome(i, send.server, Outcome.SERVED, took=100_000)
+        bench.now += 20_000
+    for i in range(100, 160):  # no answer comes any more, and none is late yet
+        bench.now += 2_000
+        bench.ask(i, customer=i, size=1)
+    refused = [a.request for a in of(bench.log, api.Refuse)]
+    assert refused
+    assert min(refused) > 103  # a few more out than usual mean nothing yet
+    assert len(bench.gateway.attempts) < 60
