--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -352,6 +352,23 @@
     return fleet.benches[0].gateway._account(7, 0, 0, size, trusted=True)
 
 
+@pytest.mark.parametrize("gateways", [1, 2, 40, 61])
+@pytest.mark.parametrize("servers", [0, 1, 3])
+def test_a_fleet_of_any_size_answers_each_request_once_with_few_hosts_or_none(gateways, servers):
+    fleet = Fleet(gateways, servers=servers)
+    for number in range(24):
+        fleet.ask(number % gateways, customer=number % 5, size=gateways, left=SECOND // 2)
+        if number == 12:  # hosts that come and go in a moment
+            for bench in fleet.benches:
+                bench.feed(listed(entry(77), kind=api.ListKind.CHANGES))
+                bench.feed(listed(entry(77, phase=api.Phase.GONE), kind=api.ListKind.CHANGES))
+        fleet.run(10_000)
+    fleet.run(SECOND // 2)
+    assert sorted(fleet.answers) == list(range(1, 25))
+    assert bool(fleet.sent()) == (servers > 0)
+    assert not any(bench.gateway.requests for bench in fleet.benches)
+
+
 def test_a_request_waits_for_its_keeper_once_and_shortly():
     bench = Bench(gateways=60)
     assert not of(bench.ask(1, size=50), api.Send | api.Refuse)
