--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -376,6 +376,21 @@
     assert of(bench.run(15_000), api.Send)
 
 
+def test_only_its_keepers_word_lets_a_waiting_request_go():
+    bench = Bench(gateways=60)
+    (question,) = of(bench.ask(1, size=50), api.TellPeer)
+    keeper, other = question.peer, (question.peer + 1) % 50 or 1
+    bench.now += 20_000
+    say(bench, other, told([], size=50))  # another gateway's gossip
+    say(bench, keeper, told([], size=50), sent=MS - 9_000)  # late beyond belief
+    say(bench, keeper, told([], size=50, customer=8))  # of another customer
+    bench.feed(api.PeerMessage(keeper, b"\xff" * 90))
+    bench.feed(api.PeerMessage(77, question.body))  # nobody of the fleet
+    assert not of(bench.log, api.Send | api.Refuse)
+    assert of(say(bench, keeper, told([], size=50)), api.Send)
+    assert not of(say(bench, keeper, told([], size=50)), api.Send)  # said twice
+
+
 def test_who_leaves_while_it_waits_is_forgotten():
     bench = Bench(gateways=60)
     bench.ask(1, size=50)
