List service: a primary with a store, leases and writers that compare versions

Need: nothing of the project's own keeps the list that gateways watch. The gateway imports nothing of it, and `run` does not start it.

Two faults were found by these tests and mended before this commit: a head of 18 KB in one piece passed h11's bound, which holds for unfinished heads only; and a caller that reads nothing was answered 400 whole lists that it had piped ahead.

--- /dev/null
+++ b/registry/entries.py
@@ -0,0 +1,189 @@
+"""Hosts as the list names them, and the checks on everything that comes from outside."""
+
+from __future__ import annotations
+
+import ipaddress
+import json
+import math
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from functools import cached_property
+from typing import Any
+
+SERVING, DRAINING, DELETED = "SERVING", "DRAINING", "DELETED"
+STATES = (SERVING, DRAINING, DELETED)
+NUMBER_MOST = 2**53 - 1  # the largest that every JSON reader keeps exact
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}", re.ASCII)
+BLOCK_MOST = 2**31 - 1
+SHARE_MOST = 1_000.0
+LEASE_LEAST, LEASE_MOST = 1_000, 86_400_000  # milliseconds
+
+
+class Invalid(ValueError):
+    """Something from outside that makes no sense; the text says what, in one line."""
+
+
+@dataclass(frozen=True)
+class Entry:
+    """One host, with the fields that the discovery page gives it."""
+
+    host: str
+    dial: str
+    site: str
+    kind: str  # its class
+    block: int
+    health: str
+    share: float
+    born_ms: int
+
+    @cached_property
+    def text(self) -> str:
+        """It as JSON, made once: whole lists and changes are put together from these."""
+        return json.dumps(
+            {
+                "host": self.host,
+                "dial": self.dial,
+                "site": self.site,
+                "class": self.kind,
+                "block": self.block,
+                "health": self.health,
+                "share": self.share,
+                "born_ms": self.born_ms,
+            },
+            separators=(",", ":"),
+        )
+
+    def now(self, health: str) -> Entry:
+        """The same host in another state."""
+        return replace(self, health=health)
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """A host on the list, and what its writers are told of it."""
+
+    entry: Entry
+    version: int  # the seq of the word that holds: the next writer names it
+    lease: int  # milliseconds
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """What one answer to a watch tells."""
+
+    life: int
+    seq: int
+    whole: bool
+    entries: tuple[Entry, ...]
+
+
+def _once(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    found = dict(pairs)
+    if len(found) != len(pairs):
+        raise Invalid("a field is named twice")
+    return found
+
+
+def _no_constant(name: str) -> None:
+    raise Invalid(f"{name} is no number")
+
+
+def parse_json(body: bytes) -> dict[str, Any]:
+    """A body as an object; raises Invalid."""
+    try:
+        raw = json.loads(body, object_pairs_hook=_once, parse_constant=_no_constant)
+    except Invalid:
+        raise
+    except (ValueError, RecursionError):
+        raise Invalid("the body is no JSON") from None
+    if not isinstance(raw, dict):
+        raise Invalid("the body is no JSON object")
+    return raw
+
+
+def fields(raw: dict[str, Any], needed: Iterable[str], may: Iterable[str] = ()) -> None:
+    """All that is needed is there, and nothing that is unknown."""
+    needed = set(needed)
+    if missing := needed - raw.keys():
+        raise Invalid(f"missing: {', '.join(sorted(missing))}")
+    if unknown := raw.keys() - needed - set(may):
+        raise Invalid(f"unknown: {', '.join(sorted(repr(name[:32]) for name in unknown))[:160]}")
+
+
+def whole_number(raw: Any, name: str, least: int = 0, most: int = NUMBER_MOST) -> int:
+    """A JSON number without a fraction, in its bounds."""
+    if type(raw) is not int or not least <= raw <= most:
+        raise Invalid(f"{name} must be a whole number from {least} to {most}")
+    return raw
+
+
+def digits(raw: str, name: str, most: int = NUMBER_MOST) -> int:
+    """A number as it stands in a query."""
+    if not re.fullmatch(r"[0-9]{1,16}", raw, re.ASCII):
+        raise Invalid(f"{name} must be a whole number from 0 to {most}")
+    return whole_number(int(raw), name, most=most)
+
+
+def name(raw: Any, what: str) -> str:
+    """An id, or the name of a site or class."""
+    if not isinstance(raw, str) or not NAME.fullmatch(raw):
+        raise Invalid(f"{what} must be 1 to 64 letters, digits, '.', '_' or '-', a letter or digit first")
+    return raw
+
+
+def address(raw: Any, what: str = "dial") -> tuple[str, int]:
+    """``A.B.C.D:PORT`` as a pair: there are no names to look up, and no other form than this one."""
+    host, _, port = raw.rpartition(":") if isinstance(raw, str) else ("", "", "")
+    try:
+        ipaddress.IPv4Address(host)
+        if not re.fullmatch(r"[1-9][0-9]{0,4}", port, re.ASCII) or int(port) > 65535:
+            raise ValueError
+    except ValueError:
+        raise Invalid(f"{what} must be an IPv4 address and a port, as in 127.0.0.1:6379") from None
+    return host, int(port)
+
+
+def health(raw: Any, states: tuple[str, ...] = STATES) -> str:
+    """A state by its name."""
+    if raw not in states:
+        raise Invalid(f"health must be one of {', '.join(states)}")
+    return raw
+
+
+def share(raw: Any) -> float:
+    """How large a host is against the others."""
+    if type(raw) not in (int, float) or not 0 < raw <= SHARE_MOST or not math.isfinite(raw):
+        raise Invalid(f"share must be a number above 0, {SHARE_MOST:g} at most")
+    return float(raw)
+
+
+def parse_entry(raw: Any, states: tuple[str, ...] = STATES) -> Entry:
+    """A host as a list names it; raises Invalid."""
+    if not isinstance(raw, dict):
+        raise Invalid("a host is no JSON object")
+    fields(raw, ("host", "dial", "site", "class", "block", "health", "share", "born_ms"))
+    address(raw["dial"])
+    return Entry(
+        name(raw["host"], "host"),
+        raw["dial"],
+        name(raw["site"], "site"),
+        name(raw["class"], "class"),
+        whole_number(raw["block"], "block", most=BLOCK_MOST),
+        health(raw["health"], states),
+        share(raw["share"]),
+        whole_number(raw["born_ms"], "born_ms"),
+    )
+
+
+def parse_news(body: bytes, life: int) -> News:
+    """An answer of a service as news; one odd host makes all of it odd, for changes build on each other."""
+    raw = parse_json(body)
+    fields(raw, ("seq", "whole", "hosts"))
+    if type(raw["whole"]) is not bool or not isinstance(raw["hosts"], list):
+        raise Invalid("whole or hosts make no sense")
+    states = (SERVING, DRAINING) if raw["whole"] else STATES
+    entries = tuple(parse_entry(line, states) for line in raw["hosts"])
+    if raw["whole"] and len({entry.host for entry in entries}) != len(entries):
+        raise Invalid("a whole list names a host twice")
+    return News(life, whole_number(raw["seq"], "seq"), raw["whole"], entries)
--- /dev/null
+++ b/registry/service.py
@@ -0,0 +1,168 @@
+"""What a primary, a follower and an agent have in common: one ledger, its readers, operators, an end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import resource
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from .follow import Address, Follow
+from .http import Exchange, Refused, Request, Server
+from .ledger import Ledger
+from .reading import INSTANCES, Reading
+from .store import Store
+
+log = logging.getLogger(__name__)
+
+OPERATORS = 16  # connections at the address for operators
+END_WITHIN = 2.0  # seconds
+
+
+def dump(raw: Any) -> bytes:
+    """JSON in one line."""
+    return json.dumps(raw, separators=(",", ":")).encode()
+
+
+class Service:
+    """What all three have: the ledger, readers, operators, an orderly end."""
+
+    role = ""
+
+    def __init__(self, connections: int) -> None:
+        self.ledger = Ledger()
+        self.follow: Follow | None = None
+        self.counts: Counter[str] = Counter()
+        self.reading = Reading(self.ledger, self.age, self.closed)
+        self.readers = Server(self.handle, connections)
+        self.operators = Server(self.operate, OPERATORS)
+        self.tasks: list[asyncio.Task] = []
+        self.stop = asyncio.Event()
+        self.failed = False  # it ends for a reason of its own
+
+    def age(self) -> float | None:
+        """Seconds since what is held was known to hold; None where nobody was heard yet."""
+        return self.follow.age() if self.follow else 0.0
+
+    def closed(self) -> str | None:
+        """Why readers can't be answered now."""
+        return None if self.ledger.seq else "no list yet"
+
+    def handle(self, exchange: Exchange, request: Request) -> None:
+        """A reader's call, or a writer's."""
+        if request.path == INSTANCES:
+            if request.method != "GET":
+                raise Refused(405, "only GET is known here", {"Allow": "GET"})
+            self.reading.handle(exchange, request)
+        elif request.path[:2] == INSTANCES and 3 <= len(request.path) <= 4:
+            self.write(exchange, request, *request.path[2:])
+        else:
+            raise Refused(404, "no such path: see /registry/instances")
+
+    def write(self, exchange: Exchange, request: Request, host: str, verb: str = "") -> None:
+        """A call about one host; only a primary takes them."""
+        first = ":".join(map(str, self.follow.services[0]))
+        raise Refused(421, f"writes go to the primary, {first}", primary=first)
+
+    def operate(self, exchange: Exchange, request: Request) -> None:
+        """An operator's call."""
+        request.terms()
+        call = (request.method, *request.path)
+        if call == ("GET", "health"):
+            if why := self.trouble():
+                raise Refused(503, why)
+            exchange.answer(b'{"ok":true}')
+        elif call == ("GET", "figures"):
+            exchange.answer(dump(self.figures()))
+        else:
+            raise Refused(404, "no such call: GET /health, GET /figures, at a primary GET or POST /hold")
+
+    def trouble(self) -> str | None:
+        """What an operator should know at once."""
+        return self.closed()
+
+    def figures(self) -> dict[str, Any]:
+        """Gauges, and counts since the start."""
+        ledger, age = self.ledger, self.age()
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        return {
+            "role": self.role,
+            "life": ledger.life,
+            "seq": ledger.seq,
+            "age_s": None if age is None else round(age, 3),
+            "hosts": dict(ledger.states()),
+            "changes_kept": len(ledger.seqs),
+            "watches": len(self.reading.waiting),
+            "connections": len(self.readers.exchanges),
+            "bytes_out": self.readers.bytes_out,
+            "cpu_s": round(used.ru_utime + used.ru_stime, 3),
+            "rss_kb_most": used.ru_maxrss,
+            "calls": dict(self.readers.counts),
+            "counts": dict(self.counts + (self.follow.counts if self.follow else Counter())),
+        }
+
+    async def run(self, listen: Address, operators: Address) -> int:
+        """Serve until told to stop; the exit status."""
+        await self.operators.listen(operators)
+        await self.begin()
+        await self.readers.listen(listen)
+        log.info("%s: %d hosts, life %d, seq %d", self.role, len(self.ledger.records), *self.place())
+        await self.stop.wait()
+        self.readers.ending = True
+        await self.last()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.reading.wake(self.ledger.seq)
+        await self.readers.end(END_WITHIN)
+        await self.operators.end(0.0)
+        await self.ended()
+        log.info("ended, life %d, seq %d", *self.place())
+        return 1 if self.failed else 0
+
+    def place(self) -> tuple[int, int]:
+        """Where the list stands."""
+        return self.ledger.life, self.ledger.seq
+
+    def start(self, work: Any) -> None:
+        """Something that goes on until the end; if it breaks, all ends."""
+        task = asyncio.get_running_loop().create_task(work)
+        task.add_done_callback(self._broken)
+        self.tasks.append(task)
+
+    def _broken(self, task: asyncio.Task) -> None:
+        if not task.cancelled() and (wrong := task.exception()):
+            log.error("ending: %r", wrong)
+            self.failed = True
+            self.stop.set()
+
+    async def begin(self) -> None:
+        """Before the first reader."""
+
+    async def last(self) -> None:
+        """What was asked for before the end is done."""
+
+    async def ended(self) -> None:
+        """After the last reader."""
+
+
+class Stored(Service):
+    """A service with a store, which blocks and so has a thread of its own."""
+
+    def __init__(self, store: Store, connections: int) -> None:
+        super().__init__(connections)
+        self.store = store
+        self.disk = ThreadPoolExecutor(1)
+
+    async def commit(self, *args: Any, **more: Any) -> None:
+        """Store.write, to its end whatever happens to the caller."""
+        loop = asyncio.get_running_loop()
+        await asyncio.shield(loop.run_in_executor(self.disk, lambda: self.store.write(*args, **more)))
+
+    async def ended(self) -> None:
+        """Nothing is half written."""
+        self.disk.shutdown()
+        self.store.close()
--- /dev/null
+++ b/tests/test_registry_calls.py
@@ -0,0 +1,330 @@
+"""The list service's calls: what readers and writers get, and what bad input gets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+
+import pytest
+from conftest import asyncio_test
+from listing import PATH, Registry, Wire, call, host, names
+
+
+async def one(registry: Registry, **options):
+    return await registry.service(**options).start("--new")
+
+
+@asyncio_test
+async def test_a_reader_gets_the_whole_list_then_changes_with_every_field(tmp_path):
+    async with Registry(tmp_path) as registry:
+        node = await one(registry)
+        first = await node.put("s-1", share=0.5, block=3, born_ms=1700000000000)
+        whole = await node.list()
+        assert whole["whole"] is True and whole["seq"] == first["version"]
+        line = {"host": "s-1", "dial": "127.0.0.1:6001", "site": "hall-a", "class": "m", "block": 3}
+        line |= {"health": "SERVING", "share": 0.5, "born_ms": 1700000000000}
+        assert whole["hosts"] == [line]
+        drained = await node.post("s-1", "drain", first["version"])
+        removed = await node.remove("s-1", drained["version"])
+        changes = await node.list(f"?index={whole['seq']}")
+        assert changes["whole"] is False and changes["seq"] == removed["version"]
+        assert changes["hosts"] == [line | {"health": "DRAINING"}, line | {"health": "DELETED"}]
+        assert (await node.list(f"?index={drained['version']}"))["hosts"] == [line | {"health": "DELETED"}]
+        assert (await node.list())["hosts"] == []
+        assert first["version"] < drained["version"] < removed["version"]
+
+
+@asyncio_test
+async def test_a_watch_waits_for_news_or_for_its_time(tmp_path):
+    async with Registry(tmp_path) as registry:
+        node = await one(registry)
+        seq = (await node.list())["seq"]
+        empty = await node.list(f"?index={seq}&wait=50")
+        assert (empty["seq"], empty["whole"], empty["hosts"]) == (seq, False, [])
+        wire = await Wire.open(node.listen)
+        wire.send("GET", f"{PATH}?index={seq}&wait=60000")
+        while (await node.figures())["watches"] == 0:
+            await asyncio.sleep(0.01)
+        put = await node.put("s-1")
+        told = await wire.answer()
+        assert (told["seq"], told["whole"], names(told)) == (put["version"], False, {"s-1"})
+        wire.send("GET", f"{PATH}?index={told['seq']}&wait=60000")  # the same connection goes on
+        await node.remove("s-1", put["version"])
+        assert [line["health"] for line in (await wire.answer())["hosts"]] == ["DELETED"]
+
+
+@asyncio_test
+async def test_a_watch_that_is_cut_off_leaves_nothing_behind(tmp_path):
+    async with Registry(tmp_path) as registry:
+        node = await one(registry)
+        seq = (await node.list())["seq"]
+        wires = [await Wire.open(node.listen) for _ in range(20)]
+        for wire in wires:
+            wire.send("GET", f"{PATH}?index={seq}&wait=60000")
+        while (await node.figures())["watches"] < 20:
+            await asyncio.sleep(0.01)
+        for number, wire in enumerate(wires):
+            if number % 2:
+                wire.close()
+            else:
+                wire.writer.write_eof()  # a half-closed one can't ask again
+        while (figures := await node.figures())["watches"] or figures["connections"]:
+            await asyncio.sleep(0.01)
+        assert (await node.put("s-1")).status == 200
+
+
+@asyncio_test
+async def test_an_index_that_was_never_given_out_gets_the_whole_list(tmp_path):
+    async with Registry(tmp_path) as registry:
+        node = await one(registry)
+        put = await node.put("s-1")
+        for index in (0, 41, put["version"] - 1, put["version"] + 1, 2**53 - 1):
+            answer = await asyncio.wait_for(node.list(f"?index={index}&wait=60000"), 5)
+            assert answer["whole"] is True and answer["seq"] == put["version"] and names(answer) == {"s-1"}
+
+
+@asyncio_test
+async def test_a_late_writer_undoes_no_newer_word(tmp_path):
+    async with Registry(tmp_path) as registry:
+        node = await one(registry)
+        old = await node.put("s-1")
+        new = await node.put("s-1", version=old["version"])  # the process started again
+        assert new["born_ms"] > old["born_ms"]
+        goodbye = await node.remove("s-1", old["version"])
+        assert goodbye.status == 409 and goodbye["version"] == new["version"]
+        assert (await node.post("s-1", "drain", old["version"])).status == 409
+        assert (await node.post("s-1", "renew", old["version"])).status == 409
+        assert (await node.put("s-1", version=0)).status == 409
+        older = await node.put("s-1", version=new["version"], born_ms=old["born_ms"])
+        assert older.status == 409 and older["born_ms"] == new["born_ms"]
+        whole = await node.list()
+        assert whole["seq"] == new["version"] and whole["hosts"][0]["health"] == "SERVING"
+        gone = await node.remove("s-1", new["version"])
+        late = await node.put("s-1", version=0)  # was on its way when the host was taken out
+        assert late.status == 409 and late["version"] == gone["version"]
+        again = await node.put("s-1", version=gone["version"])
+        assert again.status == 200 and again["born_ms"] > new["born_ms"]
+
+
+@asyncio_test
+async def test_of_writers_at_the_same_time_one_wins(tmp_path):
+    async with Registry(tmp_path) as registry:
+        node = await one(registry)
+        old = await node.put("s-1")
+        wires = [await Wire.open(node.listen) for _ in range(16)]
+        for number, wire in enumerate(wires):
+            if number % 2:
+                wire.send("DELETE", f"{PATH}/s-1?version={old['version']}")
+            else:
+                wire.send("PUT", f"{PATH}/s-1", host(version=old["version"], block=number))
+        answers = [await wire.answer() for wire in wires]
+        assert [answer.status for answer in answers].count(200) == 1
+
+
+@asyncio_test
+async def test_a_lease_that_runs_out_takes_the_host_off_and_a_renewed_one_stays(tmp_path):
+    async with Registry(tmp_path) as registry:
+        node = await one(registry)
+        kept = await node.put("kept", lease_ms=1000)
+        lost = await node.put("lost", lease_ms=1000)
+        seq = (await node.list())["seq"]
+        while (await node.list(f"?index={seq}"))["hosts"] == []:
+            assert (await node.post("kept", "renew", kept["version"])).status == 200
+            await asyncio.sleep(0.1)
+        assert names(await node.list()) == {"kept"}
+        late = await node.post("lost", "renew", lost["version"])
+        assert late.status == 404 and late["version"] > lost["version"]
+        same = await node.put("lost", version=late["version"], born_ms=lost["born_ms"])
+        assert same.status == 200 and same["born_ms"] == lost["born_ms"]  # the process is the same
+
+
+BAD_TARGETS = [
+    "?index=-1",
+    "?index=1.5",
+    "?index=",
+    "?index=%C2%B2",
+    "?index=99999999999999999",
+    "?index=1&wait=60001",
+    "?index=1&wait=-1",
+    "?index=1&index=2",
+    "?wait=soon",
+    "?since=1",
+    "?index",
+]
+BAD_FIELDS = [
+    {"dial": "host:80"},
+    {"dial": "127.0.0.1"},
+    {"dial": "127.0.0.1:0"},
+    {"dial": "127.0.0.1:65536"},
+    {"dial": "127.0.0.01:80"},
+    {"dial": "[::1]:80"},
+    {"dial": 5},
+    {"site": ""},
+    {"site": "a b"},
+    {"class": "x" * 65},
+    {"block": -1},
+    {"block": True},
+    {"block": 2**31},
+    {"share": 0},
+    {"share": -1.0},
+    {"share": "1"},
+    {"share": True},
+    {"share": 1e9},
+    {"health": "DELETED"},
+    {"health": "ILL"},
+    {"health": ["SERVING"]},
+    {"lease_ms": 999},
+    {"lease_ms": 10**9},
+    {"version": -1},
+    {"version": 1.0},
+    {"version": "0"},
+    {"version": 2**60},
+    {"born_ms": -1},
+    {"born_ms": 2**52},
+    {"colour": "red"},
+]
+BAD_BODIES = [
+    b"",
+    b"{",
+    b"[]",
+    b"null",
+    b"\xff\xfe",
+    b'{"version":NaN}',
+    b'{"share":1' + b"0" * 400 + b"}",
+    b"[" * 3000,
+    json.dumps(host())[:-1].encode() + b',"block":2}',
+]
+
+
+@asyncio_test
+async def test_bad_input_gets_one_line_of_reason_and_changes_nothing(tmp_path):
+    async with Registry(tmp_path) as registry:
+        node = await one(registry)
+        put = await node.put("s-1")
+        before = await node.list()
+        wire = await Wire.open(node.listen)
+        calls = [("GET", PATH + target, None) for target in BAD_TARGETS]
+        calls += [("PUT", f"{PATH}/s-2", host(**bad)) for bad in BAD_FIELDS]
+        calls += [("PUT", f"{PATH}/s-2", bad) for bad in BAD_BODIES]
+        calls += [("PUT", f"{PATH}/s-2", {key: 1}) for key in ("dial", "version")]
+        calls += [("PUT", f"{PATH}/{bad}", host()) for bad in ("-x", "a%20b", "x" * 65, "%ff", "a%00")]
+        calls += [
+            ("POST", f"{PATH}/s-1/drain", bad) for bad in (b"", {"version": "x"}, {"v": put["version"]})
+        ]
+        calls += [("DELETE", f"{PATH}/s-1{bad}", None) for bad in ("", "?version=", "?version=1&x=2")]
+        for method, target, body in calls:
+            answer = await wire.call(method, target, body)
+            assert answer.status == 400, (target, body)
+            assert answer["error"] and "\n" not in answer["error"]
+        others = [("POST", PATH, 405), ("PATCH", f"{PATH}/s-1", 405), ("GET", "/", 404), ("GET", "/x", 404)]
+        others += [("GET", f"{PATH}/s-1/renew", 405), ("POST", f"{PATH}/s-1/kill", 404), ("HEAD", PATH, 405)]
+        others += [("GET", f"{PATH}/s-1/a/b", 404), ("GET", f"{PATH}/s-3", 404)]
+        for method, target, status in others:
+            assert (await wire.call(method, target)).status == status
+        assert await wire.call("GET", PATH) == before
+        assert (await node.figures())["counts"] == {"changes": 1}
+
+
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\n\r\n", 400),  # no Host
+        (b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: x\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: x\r\n" + b"A: b\r\n" * 3000 + b"\r\n", 431),
+        (b"GET /" + b"x" * 20_000, 431),
+        (
+            b"PUT " + PATH.encode() + b"/s HTTP/1.1\r\nHost: x\r\nContent-Length: 9999\r\n\r\n" + b"x" * 9999,
+            413,
+        ),
+        (b"\x16\x03\x01\x02\x00", 400),  # TLS
+    ],
+)
+def test_what_is_no_http_is_told_so_and_closed(tmp_path, raw, status):
+    @asyncio_test
+    async def run():
+        async with Registry(tmp_path) as registry:
+            node = await one(registry)
+            wire = await Wire.open(node.listen)
+            wire.writer.write(raw)
+            answer = await asyncio.wait_for(wire.answer(), 9)
+            assert answer.status == status and answer["error"]
+            assert await wire.reader.read() == b""
+            assert (await node.list()).status == 200
+
+    run()
+
+
+@asyncio_test
+async def test_slow_silent_and_unread_callers_are_closed_in_bounded_time(tmp_path):
+    async with Registry(tmp_path) as registry:
+        node = await one(registry)
+        for number in range(300):
+            await node.put(f"s-{number}")
+        silent, slow, unread = [await Wire.open(node.listen) for _ in range(3)]
+        slow.writer.write(b"GET /registry/inst")
+        unread.writer.transport.pause_reading()
+        unread.writer.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        unread.writer.write(b"GET /registry/instances HTTP/1.1\r\nHost: x\r\n\r\n" * 400)
+        assert await asyncio.wait_for(silent.reader.read(), 8) == b""
+        assert (await asyncio.wait_for(slow.answer(), 8)).status == 408
+        async with asyncio.timeout(20):
+            while (await node.figures())["connections"]:
+                await asyncio.sleep(0.1)
+        calls = (await node.figures())["calls"]
+        assert (calls["closed_slow"], calls["cut_unread"]) == (2, 1)
+        assert calls["answered"] < 500  # what does not fit between them was never made
+
+
+@asyncio_test
+async def test_more_connections_than_the_bound_are_told_so_and_hold_nothing(tmp_path):
+    async with Registry(tmp_path) as registry:
+        node = await one(registry, connections=8)
+        seq = (await node.list())["seq"]
+        watches = [await Wire.open(node.listen) for _ in range(8)]
+        for wire in watches:
+            wire.send("GET", f"{PATH}?index={seq}&wait=60000")
+        while (await node.figures())["watches"] < 8:
+            await asyncio.sleep(0.01)
+        over = [await call(node.listen, "GET", PATH) for _ in range(4)]
+        assert [answer.status for answer in over] == [429] * 4
+        many = [await Wire.open(node.listen) for _ in range(40)]
+        for wire in many:  # they say nothing
+            assert await asyncio.wait_for(wire.reader.read(), 5) == b""
+        assert (await node.figures())["watches"] == 8
+        watches[0].close()
+        while (await node.figures())["connections"] > 7:
+            await asyncio.sleep(0.01)
+        assert (await node.put("s-1")).status == 200
+        for wire in watches[1:]:
+            assert names(await wire.answer()) == {"s-1"}
+
+
+@asyncio_test
+async def test_a_full_list_takes_no_more_hosts_but_lets_those_on_it_speak(tmp_path):
+    async with Registry(tmp_path) as registry:
+        node = await one(registry, hosts=2)
+        first = await node.put("s-1")
+        assert (await node.put("s-2")).status == 200
+        assert (await node.put("s-3")).status == 403
+        assert (await node.put("s-1", version=first["version"])).status == 200
+
+
+@asyncio_test
+async def test_sigterm_answers_watches_and_ends_with_nothing_lost(tmp_path):
+    async with Registry(tmp_path) as registry:
+        node = await one(registry)
+        seq = (await node.list())["seq"]
+        wires = [await Wire.open(node.listen) for _ in range(5)]
+        for wire in wires:
+            wire.send("GET", f"{PATH}?index={seq}&wait=60000")
+        while (await node.figures())["watches"] < 5:
+            await asyncio.sleep(0.01)
+        node.process.terminate()
+        for wire in wires:
+            answer = await wire.answer()
+            assert (answer["seq"], answer["hosts"], answer.headers["connection"]) == (seq, [], "close")
+        assert await asyncio.wait_for(node.process.wait(), 10) == 0
+        await node.start()
+        assert (await node.list())["seq"] > seq
