--- a/registry/__main__.py
+++ b/registry/__main__.py
@@ -11,6 +11,8 @@
 import time
 from pathlib import Path
 
+import uvloop
+
 from . import entries, leases
 from .copies import Agent, Follower
 from .primary import Primary
@@ -204,7 +206,7 @@
         if given.call == "backup":
             backup(given.store, given.to)
             return 0
-        return asyncio.run(serve(given))
+        return uvloop.run(serve(given))
     except (Damaged, OSError) as wrong:
         print(f"registry: {wrong}", file=sys.stderr)
         return 1
--- a/registry/http.py
+++ b/registry/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import json
 import logging
 import time
@@ -62,6 +63,15 @@
             )
 
 
+@functools.lru_cache(maxsize=64)
+def head(status: int, length: int, last: bool, date: str, *more: tuple[str, str]) -> h11.Response:
+    """The head of an answer: made and checked once for all who are told the same."""
+    lines = [("Date", date), ("Content-Type", "application/json"), ("Content-Length", str(length)), *more]
+    if last:
+        lines.append(("Connection", "close"))
+    return h11.Response(status_code=status, headers=lines, reason=HTTPStatus(status).phrase)
+
+
 class Exchange(asyncio.Protocol):
     """One connection. A request is handed to ``Server.handle``, which calls ``answer`` now or later."""
 
@@ -191,13 +201,7 @@
         if not self.open or self.transport.is_closing():
             return
         last = last or self.ended or self.server.ending
-        lines = {"Date": self.server.date(), "Content-Type": "application/json"} | headers
-        lines["Content-Length"] = str(len(body))
-        if last:
-            lines["Connection"] = "close"
-        response = h11.Response(
-            status_code=status, headers=list(lines.items()), reason=HTTPStatus(status).phrase
-        )
+        response = head(status, len(body), last, self.server.date(), *headers.items())
         data = self.http.send(response)
         if body and not self.bodiless:
             data += self.http.send(h11.Data(data=body))
--- a/tests/listing.py
+++ b/tests/listing.py
@@ -8,7 +8,7 @@
 import signal
 import sys
 
-from conftest import free_address, until
+from conftest import free_address
 
 PATH = "/registry/instances"
 
@@ -189,4 +189,6 @@
     return {line["host"] for line in answer["hosts"]}
 
 
-__all__ = ["PATH", "AgentNode", "Answer", "Node", "Registry", "Wire", "call", "host", "names", "until"]
+def address_of(server: asyncio.Server) -> str:
+    """Where a server of the test's own listens."""
+    return "{}:{}".format(*server.sockets[0].getsockname()[:2])
--- /dev/null
+++ b/tests/test_registry_fleet.py
@@ -0,0 +1,226 @@
+"""The list service before a fleet of 200 watchers. With ``-s`` the figures that README quotes are printed."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import statistics
+import time
+
+from conftest import asyncio_test, until
+from listing import PATH, Node, Registry, Wire, call, host
+
+WATCHERS, HOSTS = 200, 200
+
+
+class Watcher(asyncio.Protocol):
+    """Watches one service as a gateway does; keeps what it was told, in order."""
+
+    def __init__(self, node: Node, index: int, seed: int, breaks: float = 0.0) -> None:
+        self.node, self.index, self.random, self.breaks = node, index, random.Random(seed), breaks
+        self.told: list[tuple[str, str]] = []
+        self.wholes = self.answers = self.bytes = self.connections = 0
+        self.buffer = b""
+        self.done = False
+        self.transport: asyncio.Transport | None = None
+
+    async def start(self) -> None:
+        where, _, port = self.node.listen.rpartition(":")
+        while not self.done:
+            try:
+                await asyncio.get_running_loop().create_connection(lambda: self, where, int(port))
+                return
+            except OSError:
+                await asyncio.sleep(0.05)
+
+    def connection_made(self, transport) -> None:
+        self.transport, self.buffer = transport, b""
+        self.connections += 1
+        self.ask()
+
+    def ask(self) -> None:
+        self.transport.write(f"GET {PATH}?index={self.index}&wait=30000 HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        self.bytes += len(data)
+        head, found, body = self.buffer.partition(b"\r\n\r\n")
+        if not found:
+            return
+        length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
+        if len(body) < length:
+            return
+        self.buffer = b""
+        answer = json.loads(body)
+        assert answer["seq"] >= self.index
+        self.index = answer["seq"]
+        self.answers += 1
+        self.wholes += answer["whole"]
+        self.told += [(line["host"], line["health"]) for line in answer["hosts"]]
+        if b"close" in head or self.random.random() < self.breaks:
+            self.transport.abort()
+        else:
+            self.ask()
+
+    def connection_lost(self, error) -> None:
+        if not self.done:
+            self.again = asyncio.get_running_loop().create_task(self.start())
+
+    def end(self) -> None:
+        self.done = True
+        self.transport.abort()
+
+
+async def hosts_on(node: Node, count: int) -> dict[str, int]:
+    """Register hosts, many at a time; their versions."""
+    wires = [await Wire.open(node.listen) for _ in range(10)]
+    versions = {}
+    for start in range(0, count, len(wires)):
+        numbers = range(start, min(start + len(wires), count))
+        for number, wire in zip(numbers, wires, strict=False):
+            wire.send("PUT", f"{PATH}/s-{number}", host(number))
+        for number, wire in zip(numbers, wires, strict=False):
+            versions[f"s-{number}"] = (await wire.answer())["version"]
+    for wire in wires:
+        wire.close()
+    return versions
+
+
+async def watchers_on(node: Node, breaks=0.0) -> list[Watcher]:
+    """All of them, waiting."""
+    seq = (await node.list())["seq"]
+    watchers = [Watcher(node, seq, number, breaks) for number in range(WATCHERS)]
+    await asyncio.gather(*(watcher.start() for watcher in watchers))
+    while (await node.figures())["watches"] < WATCHERS:
+        await asyncio.sleep(0.02)
+    return watchers
+
+
+class Changes:
+    """Random words about the hosts of one service, one after another; keeps those that were acknowledged."""
+
+    def __init__(self, node: Node, versions: dict[str, int], seed: int) -> None:
+        self.node, self.versions, self.random = node, versions, random.Random(seed)
+        self.states = dict.fromkeys(versions, "SERVING")
+        self.made: list[tuple[str, str]] = []
+
+    async def make(self, wire: Wire) -> None:
+        name = self.random.choice(sorted(self.versions))
+        version, state = self.versions[name], self.states[name]
+        asked = "SERVING" if state == "DELETED" else self.random.choice(("SERVING", "DRAINING", "DELETED"))
+        if asked == "SERVING":
+            answer = await wire.call("PUT", f"{PATH}/{name}", host(version=version))
+        elif asked == "DRAINING":
+            answer = await wire.call("POST", f"{PATH}/{name}/drain", {"version": version})
+        else:
+            answer = await wire.call("DELETE", f"{PATH}/{name}?version={version}")
+        assert answer.status == 200
+        self.versions[name], self.states[name] = answer["version"], asked
+        self.made.append((name, asked))
+
+
+@asyncio_test
+async def test_each_change_reaches_each_of_200_watchers_once_and_in_order_also_across_reconnects(tmp_path):
+    async with Registry(tmp_path) as registry:
+        node = await registry.service().start("--new")
+        changes = Changes(node, await hosts_on(node, HOSTS), seed=3)
+        watchers = await watchers_on(node, breaks=0.1)
+        wire = await Wire.open(node.listen)
+        for _ in range(60):
+            await changes.make(wire)
+        await node.kill()
+        await node.start()
+        wire = await Wire.open(node.listen)
+        for _ in range(60):
+            await changes.make(wire)
+        await until(lambda: all(len(watcher.told) >= 120 for watcher in watchers), 30)
+        assert all(watcher.told == changes.made for watcher in watchers)
+        assert sum(watcher.wholes for watcher in watchers) == 0
+        assert sum(watcher.connections for watcher in watchers) > 3 * WATCHERS
+        for watcher in watchers:
+            watcher.end()
+        while (figures := await node.figures())["watches"] or figures["connections"] > 1:
+            await asyncio.sleep(0.02)
+
+
+@asyncio_test
+async def test_many_watches_cost_one_answer_made_and_one_sent_each(tmp_path):
+    async with Registry(tmp_path) as registry:
+        node = await registry.service().start("--new")
+        changes = Changes(node, await hosts_on(node, HOSTS), seed=4)
+        watchers = await watchers_on(node)
+        before, sent = await node.figures(), sum(watcher.bytes for watcher in watchers)
+        wire, delays = await Wire.open(node.listen), []
+        for count in range(1, 41):
+            started = time.perf_counter()
+            await changes.make(wire)
+            await until(lambda count=count: all(len(watcher.told) == count for watcher in watchers))
+            delays.append(1000 * (time.perf_counter() - started))
+        after = await node.figures()
+        each = (sum(watcher.bytes for watcher in watchers) - sent) / 40 / WATCHERS
+        cpu = 1000 * (after["cpu_s"] - before["cpu_s"]) / 40
+        assert each < 400  # one host's line and a head, however many hosts there are
+        assert sum(watcher.answers for watcher in watchers) == 40 * WATCHERS
+        print(f"\nwrite to last of {WATCHERS} watchers: median {statistics.median(delays):.1f} ms, ", end="")
+        print(f"worst {max(delays):.1f} ms; {each:.0f} bytes a change and watcher; CPU {cpu:.1f} ms a change")
+        started, count = time.perf_counter(), 400
+        wires = [await Wire.open(node.listen) for _ in range(16)]
+
+        async def write(number: int, wire: Wire) -> None:
+            own = Changes(node, {k: v for k, v in changes.versions.items() if int(k[2:]) % 16 == number}, 5)
+            own.states = {name: changes.states[name] for name in own.versions}
+            for _ in range(count // 16):
+                await own.make(wire)
+
+        await asyncio.gather(*(write(number, wire) for number, wire in enumerate(wires)))
+        await until(lambda: all(len(watcher.told) == 40 + count for watcher in watchers), 30)
+        rate = count / (time.perf_counter() - started)
+        answers = sum(watcher.answers for watcher in watchers) / WATCHERS - 40
+        assert answers <= count  # words that are stored together are told together
+        print(f"16 writers: {rate:.0f} changes a second, {answers / count:.2f} answers a change and watcher")
+        before = await node.figures()
+        await asyncio.sleep(2)
+        after = await node.figures()
+        assert after["bytes_out"] == before["bytes_out"]  # nobody is told anything at rest
+        rest = (after["cpu_s"] - before["cpu_s"]) / 2
+        print(f"at rest: {100 * rest:.1f}% of a core, {after['rss_kb_most'] // 1024} MB at most so far")
+        for watcher in watchers:
+            watcher.end()
+
+
+@asyncio_test
+async def test_after_sigkill_a_thousand_hosts_are_told_again_whole(tmp_path):
+    async with Registry(tmp_path) as registry:
+        node = await registry.service().start("--new")
+        await hosts_on(node, 1_000)
+        spans = []
+        for _ in range(5):
+            await node.kill()
+            started = time.perf_counter()
+            await node.start(ready=False)
+            answer = await node.told(lambda answer: True)
+            spans.append(1000 * (time.perf_counter() - started))
+            assert len(answer["hosts"]) == 1_000
+        print(
+            f"\nSIGKILL to the first whole answer of 1000 hosts: {sorted(round(span) for span in spans)} ms"
+        )
+
+
+@asyncio_test
+async def test_the_log_stays_bounded_under_calls_that_fail(tmp_path):
+    async with Registry(tmp_path) as registry:
+        node = await registry.service().start("--new")
+        for number in range(300):
+            assert (await node.put(f"s-{number}", lease_ms=1000)).status == 200
+        while (await call(node.operators, "GET", "/hold"))["held"] < 300:
+            await asyncio.sleep(0.05)
+        assert (await call(node.operators, "POST", "/hold", {"held": 300})).status == 200
+        await node.told(lambda answer: answer["hosts"] == [])
+        wire = await Wire.open(node.listen)
+        for _ in range(300):
+            assert (await wire.call("GET", f"{PATH}?index=x")).status == 400
+        assert await node.stop() == 0
+        await node.reading
+        lines = node.log.decode().splitlines()
+        assert 200 <= len(lines) < 260 and "lines left out" in lines[-1]
