--- a/registry/follow.py
+++ b/registry/follow.py
@@ -90,6 +90,7 @@
         self.wait, self.answer_within = wait, answer_within
         self.at = 0  # the service that is asked
         self.failures = 0  # without an answer between them
+        self.said: dict[Address, str] = {}  # why each of them was left last
         self.counts: Counter[str] = Counter()
         self.doubted = False  # what is held does not fit to what a service told: the whole list
         self.word: float | None = None  # when a service last confirmed what is held, by the loop's clock
@@ -114,7 +115,10 @@
                 await self._watch(where)
             except (OSError, TimeoutError, Invalid, h11.ProtocolError) as wrong:
                 self.counts["failures"] += 1
-                log.warning("%s:%d left: %s", *where, str(wrong) or type(wrong).__name__)
+                why = str(wrong) or type(wrong).__name__
+                if self.said.get(where) != why:  # once, until it answers or fails in another way
+                    log.warning("%s:%d left: %s", *where, why)
+                self.said[where] = why
             self.at = (self.at + 1) % len(self.services)
             span = min(BACK_OFF_MOST, BACK_OFF * 2 ** min(self.failures // len(self.services), 16))
             self.failures += 1
@@ -132,6 +136,7 @@
                     return
                 if first:
                     log.info("%s:%d followed, seq %d", *where, self.ledger.seq)
+                    self.said.pop(where, None)
                 first, self.failures = False, 0
                 if not answer.again:
                     return
--- a/tests/test_registry_copies.py
+++ b/tests/test_registry_copies.py
@@ -6,7 +6,7 @@
 import itertools
 import json
 
-from conftest import FakeHost, Service, asyncio_test
+from conftest import FakeHost, Service, asyncio_test, free_address
 from listing import PATH, AgentNode, Node, Registry, Wire, address_of, call, host, names
 
 
@@ -350,3 +350,12 @@
             await serve(60)
             assert len(gone.commands) == before
             assert all(caller.replies == [b"ok"] * asked for caller in callers)
+
+
+@asyncio_test
+async def test_a_service_that_stays_away_is_logged_once(tmp_path):
+    async with Registry(tmp_path) as registry:
+        reader = await agent(registry, free_address()).start()
+        while (await reader.figures())["counts"].get("failures", 0) < 4:
+            await asyncio.sleep(0.02)
+        assert reader.log.decode().count(" left: ") == 1
