--- a/registry/ledger.py
+++ b/registry/ledger.py
@@ -24,6 +24,7 @@
         self.gone: dict[str, tuple[int, Entry]] = {}  # hosts taken off in the changes that are kept, and when
         self.seqs: list[int] = []  # each number that was given out and is kept, and what it told
         self.told: list[tuple[Entry, ...]] = []
+        self.made = 0  # answers that were put together
         self._bodies: dict[int | None, bytes] = {}  # by the reader's index, for as long as seq holds
 
     def load(
@@ -68,8 +69,8 @@
             self.gone = {host: told for host, told in self.gone.items() if told[0] >= self.seqs[0]}
 
     def since(self, index: int | None) -> News:
-        """What is newer than this number; the whole list where it was never given out or is not kept."""
-        if index is not None and self.knows(index):
+        """What is newer than this number, which is known; None: the whole list."""
+        if index is not None:
             later = self.told[bisect_right(self.seqs, index) :]
             return News(self.life, self.seq, False, tuple(entry for told in later for entry in told))
         return News(self.life, self.seq, True, tuple(record.entry for record in self.records.values()))
@@ -80,9 +81,11 @@
         return at < len(self.seqs) and self.seqs[at] == index
 
     def body(self, index: int | None) -> bytes:
-        """The same as an answer, made once for all readers that stand at one number."""
+        """The answer to a reader that stands at this number, made once for all who do; the whole list where
+        it was never given out or is not kept."""
         key = index if index is not None and self.knows(index) else None
         if key not in self._bodies:
+            self.made += 1
             news = self.since(key)
             hosts = ",".join(entry.text for entry in news.entries)
             whole = "true" if news.whole else "false"
--- a/registry/service.py
+++ b/registry/service.py
@@ -95,6 +95,7 @@
             "age_s": None if age is None else round(age, 3),
             "hosts": dict(ledger.states()),
             "changes_kept": len(ledger.seqs),
+            "answers_made": ledger.made,
             "watches": len(self.reading.waiting),
             "connections": len(self.readers.exchanges),
             "bytes_out": self.readers.bytes_out,
--- a/registry/store.py
+++ b/registry/store.py
@@ -90,8 +90,6 @@
             ) from None
 
     def _load(self, ledger: Ledger) -> str:
-        if self.path.stat().st_size == 0:
-            raise Invalid("it is empty")
         self.db = db = self._connect(self.path)
         if (found := db.execute("PRAGMA integrity_check(1)").fetchone()[0]) != "ok":
             raise Invalid(" ".join(found.split()))
--- a/tests/listing.py
+++ b/tests/listing.py
@@ -67,6 +67,15 @@
     return line | {"lease_ms": 60_000, "version": 0} | changes
 
 
+async def word(wire: Wire, name: str, state: str, version: int) -> Answer:
+    """A host's word that leads to this state."""
+    if state == "SERVING":
+        return await wire.call("PUT", f"{PATH}/{name}", host(version=version))
+    if state == "DRAINING":
+        return await wire.call("POST", f"{PATH}/{name}/drain", {"version": version})
+    return await wire.call("DELETE", f"{PATH}/{name}?version={version}")
+
+
 class Registry:
     """Processes of ``python -m registry``, each ended with the test."""
 
--- a/tests/test_registry_calls.py
+++ b/tests/test_registry_calls.py
@@ -8,7 +8,9 @@
 
 import pytest
 from conftest import asyncio_test
-from listing import PATH, Registry, Wire, call, host, names
+from listing import PATH, Registry, Wire, address_of, call, host, names
+
+from registry.http import Server
 
 
 async def one(registry: Registry, **options):
@@ -100,6 +102,9 @@
         assert older.status == 409 and older["born_ms"] == new["born_ms"]
         whole = await node.list()
         assert whole["seq"] == new["version"] and whole["hosts"][0]["health"] == "SERVING"
+        ahead = await node.put("s-1", version=new["version"], born_ms=new["born_ms"] + 3_600_000)
+        new = await node.put("s-1", version=ahead["version"])  # though its clock was ahead
+        assert new["born_ms"] > ahead["born_ms"]
         gone = await node.remove("s-1", new["version"])
         late = await node.put("s-1", version=0)  # was on its way when the host was taken out
         assert late.status == 409 and late["version"] == gone["version"]
@@ -277,6 +282,18 @@
         assert calls["answered"] < 500  # what does not fit between them was never made
 
 
+@asyncio_test
+async def test_a_connection_without_a_request_is_closed_after_a_while():
+    server = Server(lambda exchange, request: exchange.answer(b"{}"), 4, idle_for=0.1)
+    await server.listen(("127.0.0.1", 0))
+    wire = await Wire.open(address_of(server.server))
+    for _ in range(3):  # it goes on for as long as it asks
+        assert (await wire.call("GET", "/")).status == 200
+    assert await asyncio.wait_for(wire.reader.read(), 5) == b""
+    assert server.counts["closed_idle"] == 1 and not server.exchanges
+    await server.end(0.1)
+
+
 @asyncio_test
 async def test_more_connections_than_the_bound_are_told_so_and_hold_nothing(tmp_path):
     async with Registry(tmp_path) as registry:
@@ -292,7 +309,8 @@
         many = [await Wire.open(node.listen) for _ in range(40)]
         for wire in many:  # they say nothing
             assert await asyncio.wait_for(wire.reader.read(), 5) == b""
-        assert (await node.figures())["watches"] == 8
+        figures = await node.figures()
+        assert figures["watches"] == 8 and figures["calls"]["cut_crowded"] > 20
         watches[0].close()
         while (await node.figures())["connections"] > 7:
             await asyncio.sleep(0.01)
--- a/tests/test_registry_fleet.py
+++ b/tests/test_registry_fleet.py
@@ -9,7 +9,7 @@
 import time
 
 from conftest import asyncio_test, until
-from listing import PATH, Node, Registry, Wire, call, host
+from listing import PATH, Node, Registry, Wire, call, host, word
 
 WATCHERS, HOSTS = 200, 200
 
@@ -112,12 +112,7 @@
         name = self.random.choice(sorted(self.versions))
         version, state = self.versions[name], self.states[name]
         asked = "SERVING" if state == "DELETED" else self.random.choice(("SERVING", "DRAINING", "DELETED"))
-        if asked == "SERVING":
-            answer = await wire.call("PUT", f"{PATH}/{name}", host(version=version))
-        elif asked == "DRAINING":
-            answer = await wire.call("POST", f"{PATH}/{name}/drain", {"version": version})
-        else:
-            answer = await wire.call("DELETE", f"{PATH}/{name}?version={version}")
+        answer = await word(wire, name, asked, version)
         assert answer.status == 200
         self.versions[name], self.states[name] = answer["version"], asked
         self.made.append((name, asked))
@@ -162,6 +157,8 @@
             delays.append(1000 * (time.perf_counter() - started))
         after = await node.figures()
         each = (sum(watcher.bytes for watcher in watchers) - sent) / 40 / WATCHERS
+        made = after["answers_made"] - before["answers_made"]
+        assert made == 40  # however many wait
         cpu = 1000 * (after["cpu_s"] - before["cpu_s"]) / 40
         assert each < 400  # one host's line and a head, however many hosts there are
         assert sum(watcher.answers for watcher in watchers) == 40 * WATCHERS
--- a/tests/test_registry_store.py
+++ b/tests/test_registry_store.py
@@ -8,7 +8,7 @@
 
 import pytest
 from conftest import asyncio_test
-from listing import PATH, Registry, Wire, call, host, names
+from listing import PATH, Registry, Wire, call, names, word
 
 from registry.entries import Entry, Record
 from registry.ledger import Ledger
@@ -63,12 +63,7 @@
         if state == "DELETED":
             asked = "SERVING"
         self.doubt = {name: asked}
-        if asked == "SERVING":
-            answer = await wire.call("PUT", f"{PATH}/{name}", host(version=version))
-        elif asked == "DRAINING":
-            answer = await wire.call("POST", f"{PATH}/{name}/drain", {"version": version})
-        else:
-            answer = await wire.call("DELETE", f"{PATH}/{name}?version={version}")
+        answer = await word(wire, name, asked, version)
         assert answer.status == 200, answer
         assert answer["version"] > version
         self.sure[name], self.doubt = (answer["version"], asked), {}
@@ -166,6 +161,16 @@
     assert refused > 100
 
 
+def test_damage_that_no_row_shows_is_refused(tmp_path):
+    path = tmp_path / "a.db"
+    filled(path)
+    raw = bytearray(path.read_bytes())
+    raw[39] += 1  # pages that are free, as the file's head tells it
+    path.write_bytes(raw)
+    with pytest.raises(Damaged, match="is damaged"):
+        loaded(path)
+
+
 @asyncio_test
 async def test_a_missing_damaged_or_used_store_is_refused_with_one_line(tmp_path):
     async with Registry(tmp_path) as registry:
