Refill a quota by the part spent here while no other gateway is heard

A probe in every gateway, summed by the second over all logs, shows that from 7.7 to 13.6 s nobody hears anybody (mean silence 60 ms before, 4.9 s then) while 20 to 38 gateways are asked in vain. `_lift` refilled at the whole rate in each of them ("a silent peer gets no rule: most are down"). Ruled out: dead gateways (none is), lost questions (0.02 unanswered in ordinary seconds).

Change: a gateway that asked four others since the last word of any, unanswered, and heard nobody for 400 ms refills by the part of the customer's units that was spent here, fixed when the cut is noticed. Survivors of a mass kill hear each other and grant all as before; fleets of four or fewer are as they were.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -31,6 +31,7 @@
 ASK_WITHIN = 100 * MS  # a request of a wide set waits no longer for its keeper's word
 NEW_TICKS = 1000 // messages.TICK  # a count heard of first that began earlier is within a total already
 ASKS = 2  # times that a request waits: the question or the answer may be lost
+CUT_OFF = 4  # gateways asked since the last word of any, and none answered: it is us who are cut off
 MISSES = 2  # questions in a row without an answer make a keeper silent for a while: one may be lost
 
 # Servers
@@ -366,6 +367,8 @@
         account.ceiling = min(plan.ceiling_burst * part, account.ceiling + gained)
         share = 1 / account.size if self.alone else 1.0  # a silent peer gets no rule: most are down
         burst = plan.burst * share
+        account.part = (account.part or self._own_part(account)) if self._is_cut_off() else 0.0
+        share = account.part or share
         # Debt: what went beyond the quota took nothing from the true store, so the limit never lies below.
         limit = max(account.total, account.limit + plan.rate * share * span / SECOND)
         account.limit = min(limit, account.total + burst)
@@ -377,6 +380,15 @@
         is the first keeper's, who gives of it what others want: it takes that off before it tells them."""
         return (1 + account.size * (self._keeper(account) == self.rank)) / (2 * account.size)
 
+    def _is_cut_off(self) -> bool:
+        """Whether nobody is heard any more: a few that are silent are down, and their clients come here."""
+        return len(self.unanswered) >= CUT_OFF and self.now - self.any_heard > 2 * ANSWER_WITHIN
+
+    def _own_part(self, account: Account) -> float:
+        """Of what the customer spent, the part spent here; where nothing is known, its share."""
+        burst, own = self.s.plans[account.plan].burst, account.counts.get(self.rank, (0, 0.0))[1]
+        return min(1.0, (own + burst / account.size) / (account.total + burst)) if burst else 1.0
+
     def _is_wide(self, account: Account) -> bool:
         """Whether news of it takes longer to go round its set than its burst takes to come back."""
         plan = self.s.plans[account.plan]
@@ -448,6 +460,7 @@
         if self.heard.get(rank, -1) >= at:
             return
         self.missed[rank] = self.missed.get(rank, (0, 0))[0] + 1, self.now
+        self.unanswered.add(rank)
         if number >= 0 and (account := self.accounts.get(customer)):
             self._tell_keeper(account, number + 1)
 
@@ -515,7 +528,8 @@
         age = self.now - message.sent * MS if message else LATE_MOST
         if self.alone or not 0 <= event.sender < self.s.gateways or abs(age) >= LATE_MOST:
             return
-        self.heard[event.sender] = self.now
+        self.heard[event.sender] = self.any_heard = self.now
+        self.unanswered.clear()
         self.missed.pop(event.sender, None)
         merged = []
         for row in message.rows:
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -33,6 +33,7 @@
     # By rank: units that are counted in and not yet told as spent, since when.
     promised: dict[int, tuple[float, int]] = field(default_factory=dict)
     closed: bool = False  # it was fast and spent nearly all: refused until a good part is back
+    part: float = 0.0  # of the quota that is granted here alone, while this gateway is cut off; 0: it is not
 
     @property
     def plan(self) -> int:
@@ -163,6 +164,8 @@
         self.changed: dict[int, None] = {}  # customers whose counts changed since they were told
         self.heard: dict[int, int] = {}  # rank -> when it was last heard
         self.missed: dict[int, tuple[int, int]] = {}  # rank -> questions left without an answer, the last one
+        self.any_heard = 0  # when any other gateway was heard last
+        self.unanswered: set[int] = set()  # ranks that left a question without an answer since then
         self.asked: deque[tuple[int, int, int, int]] = deque()  # when, rank, customer, which keeper
         self.hosts: dict[api.Server, Host] = {}
         self.names: dict[api.Server, None] = {}  # ever listed; the one listed anew last stands last
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import itertools
+import random
 import sys
 
 import pytest
@@ -520,3 +521,51 @@
     assert 0 < told <= 75_000  # 0.15 of the aim
     bench.run(told + 1)
     assert of(bench.ask(200, size=1), api.Send)
+
+
+def fleet_under_load(gateways: int, at_cut) -> tuple[float, float]:
+    """Six customers, each asking three times its quota all over the fleet; what they were granted a second
+    each before something happens to the fleet, and once what each gateway knew of room is spent."""
+    fleet, draw = Fleet(gateways, seed=4), random.Random(9)
+
+    def load(seconds: int) -> float:
+        before = len(fleet.sent())
+        for _ in range(seconds * 6 * 6):
+            rank = draw.choice([rank for rank in range(gateways) if rank not in fleet.dead])
+            fleet.ask(rank, customer=draw.randrange(6), size=gateways)
+            fleet.run(SECOND // 36)
+        return (len(fleet.sent()) - before) / seconds / 6
+
+    load(5)
+    usual = load(10)
+    at_cut(fleet)
+    load(50)
+    return usual, load(10)
+
+
+def test_gateways_that_hear_nobody_grant_together_about_what_the_quota_holds():
+    def cut(fleet: Fleet) -> None:
+        fleet.loss = 1.0
+
+    usual, cut_off = fleet_under_load(24, cut)
+    assert usual <= 1.2 * PLAIN.rate
+    assert cut_off <= 1.6 * PLAIN.rate  # each for itself let in all of it, three times the quota
+
+
+def test_gateways_that_are_left_of_many_grant_all_of_the_quota():
+    usual, left = fleet_under_load(24, lambda fleet: fleet.dead.update(range(8, 24)))
+    assert left >= 0.8 * usual
+
+
+def test_who_is_heard_again_grants_as_before():
+    bench = Bench(gateways=12)
+    for customer in range(6):
+        bench.ask(customer + 1, customer=customer, size=12)
+    bench.run(SECOND)
+    assert len(bench.gateway.unanswered) >= 4
+    account = bench.gateway._account(7, 0, 0, 12, trusted=True)
+    bench.gateway._lift(account)
+    assert account.part == pytest.approx(1 / 12)
+    say(bench, 5, told([], customer=8, size=12))
+    bench.gateway._lift(account)
+    assert account.part == 0.0 and not bench.gateway.unanswered
