List service: a follower with a full disk tells what it had; what a write needs to outlive power loss is tested

Need: reading the whole change once more showed that a follower ended where its store took no write, though it could serve on, and that no test would notice a weaker `synchronous`, since SIGKILL does not lose what the system has buffered. News that can't be stored is asked for again with the growing waits of any failure, and `/health` says so, at a primary by the same lines. The test of the follower fails without the change.

--- a/registry/copies.py
+++ b/registry/copies.py
@@ -4,14 +4,15 @@
 
 import asyncio
 import logging
+import sqlite3
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 from . import keep
-from .entries import DELETED, Entry, News, Record
+from .entries import DELETED, Entry, Invalid, News, Record
 from .follow import Address, Follow
 from .service import Service, Stored
-from .store import FOLLOWER, Damaged, Store
+from .store import FOLLOWER, Damaged, Store, may_pass
 
 log = logging.getLogger(__name__)
 
@@ -46,15 +47,33 @@
         if news.seq <= index:  # another life, and its clock was behind
             records = [Record(entry, news.seq, 0) for entry in news.entries]
             held = {record.entry.host: record for record in records}
-            await self.commit(*place, [(news.seq, ())], held, self.ledger.kept, FOLLOWER, anew=True)
+            await self.store_news(*place, [(news.seq, ())], held, anew=True)
             self.ledger.reset(news.life, news.seq, records)
         else:
             changed = changes(steps, news.seq)
-            await self.commit(*place, [(news.seq, steps)], changed, self.ledger.kept, FOLLOWER)
+            await self.store_news(*place, [(news.seq, steps)], changed)
             self.ledger.life = news.life
             self.ledger.apply(news.seq, steps, changed)
         self.reading.wake(index)
 
+    async def store_news(
+        self,
+        life: int,
+        seq: int,
+        steps: list[tuple[int, tuple[Entry, ...]]],
+        records: dict[str, Record | None],
+        anew: bool = False,
+    ) -> None:
+        """What can't be stored is not told: the same news is asked for again, later."""
+        try:
+            await self.commit(life, seq, steps, records, self.ledger.kept, FOLLOWER, anew)
+            self.full = False
+        except sqlite3.Error as wrong:
+            if not may_pass(wrong):
+                raise
+            self.full = True
+            raise Invalid(f"its news could not be stored: {wrong}") from None
+
 
 def changes(entries: tuple[Entry, ...], seq: int) -> dict[str, Record | None]:
     """What the hosts named are after these entries, as far as a reader is told it."""
--- a/registry/primary.py
+++ b/registry/primary.py
@@ -32,7 +32,7 @@
 from .leases import TICK, Leases
 from .ledger import Ledger
 from .service import END_WITHIN, Stored, dump
-from .store import PRIMARY, Damaged, Store
+from .store import PRIMARY, Damaged, Store, may_pass
 
 log = logging.getLogger(__name__)
 
@@ -111,7 +111,6 @@
         self.queue: list[tuple[Decide, Exchange | None]] = []
         self.queued = asyncio.Event()
         self.busy = False  # with a transaction
-        self.full = False  # the last write found no room on disk
 
     def number(self, last: int) -> int:
         """The next seq."""
@@ -124,9 +123,7 @@
         return super().closed()
 
     def trouble(self) -> str | None:
-        """A held list and a full disk want a person."""
-        if self.full:
-            return "writes fail: no room on disk"
+        """A held list wants a person, too."""
         if self.leases.held:
             return f"list held: {len(self.leases.held)} leases ran out at once, see /hold"
         return super().trouble()
@@ -281,7 +278,7 @@
                 for _, exchange in batch:
                     if exchange:
                         exchange.refuse(Refused(503, "not stored, nothing has changed", {"Retry-After": "1"}))
-                if getattr(wrong, "sqlite_errorcode", None) not in (sqlite3.SQLITE_FULL, sqlite3.SQLITE_BUSY):
+                if not may_pass(wrong):
                     raise  # what is on disk is in doubt: a new start verifies it
 
     async def _transact(self, batch: list[tuple[Decide, Exchange | None]]) -> None:
--- a/registry/service.py
+++ b/registry/service.py
@@ -157,6 +157,11 @@
         super().__init__(connections)
         self.store = store
         self.disk = ThreadPoolExecutor(1)
+        self.full = False  # the last write found no room on disk
+
+    def trouble(self) -> str | None:
+        """A full disk wants a person."""
+        return "writes fail: no room on disk" if self.full else super().trouble()
 
     async def commit(self, *args: Any, **more: Any) -> None:
         """Store.write, to its end whatever happens to the caller."""
--- a/registry/store.py
+++ b/registry/store.py
@@ -26,6 +26,11 @@
     """The store can't be used; the text says why and what to do, in one line."""
 
 
+def may_pass(wrong: sqlite3.Error) -> bool:
+    """Whether the store is as it was and a later write may succeed; else what is on disk is in doubt."""
+    return getattr(wrong, "sqlite_errorcode", None) in (sqlite3.SQLITE_FULL, sqlite3.SQLITE_BUSY)
+
+
 def checksum(key: Any, value: str) -> str:
     """Tells a row that was altered: SQLite's own check looks at the structure, not into values."""
     return hashlib.blake2b(f"{key}\n{value}".encode(), digest_size=8).hexdigest()
--- a/tests/test_registry_copies.py
+++ b/tests/test_registry_copies.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import json
+import sqlite3
 
 from conftest import FakeHost, Service, asyncio_test, free_address
 from listing import PATH, AgentNode, Node, Registry, Wire, address_of, call, host, names
@@ -95,6 +96,25 @@
         assert alone["hosts"] == told["hosts"] and alone["seq"] == told["seq"]
 
 
+@asyncio_test
+async def test_a_follower_whose_disk_is_full_tells_what_it_had_until_there_is_room(tmp_path):
+    async with Registry(tmp_path) as registry:
+        first = await registry.service().start("--new")
+        await first.put("s-1")
+        copy = await registry.service("b", follow=first.listen).start("--new")
+        await copy.told(lambda answer: names(answer) == {"s-1"})
+        blocker = sqlite3.connect(copy.store, isolation_level=None)
+        blocker.execute("BEGIN IMMEDIATE")  # stands for any write that the store can't take
+        await first.put("s-2")
+        async with asyncio.timeout(15):
+            while (await call(copy.operators, "GET", "/health")).status == 200:
+                await asyncio.sleep(0.05)
+        assert names(await copy.list()) == {"s-1"}
+        blocker.execute("ROLLBACK")
+        await copy.told(lambda answer: names(answer) == {"s-1", "s-2"}, 30)
+        assert (await call(copy.operators, "GET", "/health")).status == 200
+
+
 @asyncio_test
 async def test_a_promoted_follower_goes_on_and_the_old_primary_is_passed_by(tmp_path):
     async with Registry(tmp_path) as registry:
--- a/tests/test_registry_store.py
+++ b/tests/test_registry_store.py
@@ -129,6 +129,16 @@
         assert (await node.put("s-2", version=0))["version"] == gone["version"]
 
 
+def test_a_write_is_on_disk_before_it_is_answered(tmp_path):
+    """No kill shows it: only the settings say what outlives a loss of power."""
+    filled(tmp_path / "a.db", hosts=1)
+    store = Store(tmp_path / "a.db")
+    store.load(Ledger())
+    told = [store.db.execute(f"PRAGMA {name}").fetchone()[0] for name in ("journal_mode", "synchronous")]
+    store.close()
+    assert told == ["delete", 3]  # 3: EXTRA, the folder too
+
+
 def test_each_truncated_store_is_refused(tmp_path):
     filled(tmp_path / "whole.db")
     raw = (tmp_path / "whole.db").read_bytes()
