--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -29,6 +29,15 @@
     assert not re.search(r"\bimport (time|datetime|os)\b|\brandom\.(random|choice|sample)\(|\bglobal\b", text)
 
 
+def test_the_gateway_and_the_list_service_import_nothing_of_each_other():
+    gateway = [*SOURCES, *sorted((ROOT / "saffrongw").glob("*.py"))]
+    service = sorted((ROOT / "registry").glob("*.py"))
+    assert len(gateway) > 10 and len(service) > 10
+    found = [p.name for p in gateway if re.search(r"(import|from) registry\b", p.read_text())]
+    found += [p.name for p in service if re.search(r"(import|from) (saffrongw|orchidlane)\b", p.read_text())]
+    assert found == []
+
+
 def test_the_example_of_the_readme_runs():
     code = re.search(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.S).group(1)
     scope: dict = {}
