Structured logging with one bound for gateway and list service; serve becomes parts

Need: logs were free text with a bound in the list service only; a flood at a gateway had none. Now ops/logs.py (structlog) gives one event name and typed fields a line, as logfmt or JSON, 20 lines a second; each line kept back is counted and told, and the figures always pass. Customers appear only as the id that the protocol carries, requests by their id. serve in saffrongw/__main__.py becomes process.py with a named part a step; control.py and upgrade.py no longer import each other: each gets what it calls (CarryOut, Other). An address that is taken, foreign or not permitted ends the start in one line; where a process before this one may still hold it, it is tried on as before. SIGHUP tells what changed, what is in force and what waits for a restart. ops/http.py is registry/http.py moved. Ruled out: logging through the standard library with structlog on top, twice the work a line.

--- a/registry/http.py
+++ b/ops/http.py
@@ -5,7 +5,6 @@
 import asyncio
 import functools
 import json
-import logging
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -16,9 +15,9 @@
 
 import h11
 
-from .entries import Invalid
+from . import logs
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 
 HEAD_MOST = 8_192  # bytes of a request's head, and of what may come behind it before it is answered
 BODY_MOST = 4_096
@@ -28,6 +27,10 @@
 LINGER = 1.0  # seconds that a caller who was turned away has to read why
 
 
+class Invalid(ValueError):
+    """Something from outside that makes no sense; the text says what, in one line."""
+
+
 class Refused(Exception):
     """An answer other than 200: its status, one line of reason, and what else the caller may need."""
 
@@ -66,7 +69,9 @@
 @functools.lru_cache(maxsize=64)
 def head(status: int, length: int, last: bool, date: str, *more: tuple[str, str]) -> h11.Response:
     """The head of an answer: made and checked once for all who are told the same."""
-    lines = [("Date", date), ("Content-Type", "application/json"), ("Content-Length", str(length)), *more]
+    lines = [("Date", date), ("Content-Length", str(length)), *more]
+    if not any(name == "Content-Type" for name, _ in more):
+        lines.append(("Content-Type", "application/json"))
     if last:
         lines.append(("Connection", "close"))
     return h11.Response(status_code=status, headers=lines, reason=HTTPStatus(status).phrase)
@@ -175,7 +180,7 @@
         except Refused as refused:
             self.refuse(refused)
         except Exception:
-            log.exception("a request could not be handled")
+            log.exception("request_failed", target=head.target)
             self.refuse(Refused(500, "it could not be handled, see the log"))
 
     def _wrong(self, refused: Refused) -> None:
@@ -291,7 +296,7 @@
         self._date = (0, "")
 
     async def listen(self, address: tuple[str, int]) -> None:
-        """Open the address."""
+        """Open the address; raises OSError."""
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(lambda: Exchange(self), *address, backlog=1024)
 
--- a/registry/__main__.py
+++ b/registry/__main__.py
@@ -4,49 +4,25 @@
 
 import argparse
 import asyncio
-import logging
 import resource
 import signal
 import sys
-import time
+from collections.abc import Sequence
 from pathlib import Path
 
 import uvloop
 
+from ops import logs
+
 from . import entries, leases
 from .copies import Agent, Follower
 from .primary import Primary
 from .service import Service
 from .store import FOLLOWER, PRIMARY, Damaged, Store, backup
 
-LINES = 20.0  # in a second, on average, at most
-BURST = 200
-LINE_MOST = 400  # characters
 SPARE = 64  # descriptors for all but readers
 
 
-class Bounded(logging.Filter):
-    """Lets so many lines through and tells how many it did not; long ones are cut."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.room, self.at, self.left_out = float(BURST), time.monotonic(), 0
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        """Whether this line is written."""
-        now = time.monotonic()
-        self.room, self.at = min(BURST, self.room + LINES * (now - self.at)), now
-        if self.room < 1:
-            self.left_out += 1
-            return False
-        self.room -= 1
-        text = record.getMessage()[:LINE_MOST]
-        if self.left_out:
-            text, self.left_out = f"({self.left_out} lines left out) {text}", 0
-        record.msg, record.args = text, ()
-        return True
-
-
 def address(text: str) -> tuple[str, int]:
     """An option's IPv4 address and port."""
     try:
@@ -79,11 +55,9 @@
     return float(text)
 
 
-def options() -> argparse.ArgumentParser:
+def options(prog: str = "python -m registry") -> argparse.ArgumentParser:
     """All that can be said on the command line."""
-    parser = argparse.ArgumentParser(
-        prog="python -m registry", description="Keeps the list of hosts that gateways watch."
-    )
+    parser = argparse.ArgumentParser(prog=prog, description="Keeps the list of hosts that gateways watch.")
     calls = parser.add_subparsers(dest="call", required=True)
     serve = calls.add_parser(
         "serve",
@@ -109,6 +83,18 @@
             metavar="IP:PORT",
             help="where operators call: GET /health, GET /figures, GET and POST /hold",
         )
+        each.add_argument(
+            "--metrics", action="store_true", help="with GET /metrics at the operators' address, too"
+        )
+        each.add_argument(
+            "--log-form", choices=logs.FORMS, default="text", help="logfmt or JSON lines (%(default)s)"
+        )
+        each.add_argument(
+            "--log-level",
+            choices=tuple(logs.LEVELS),
+            default="info",
+            help="the least that is written (%(default)s)",
+        )
         each.add_argument(
             "--connections", type=whole(1, 100_000), default=1_024, help="of readers, at most (%(default)s)"
         )
@@ -188,25 +174,27 @@
 async def serve(given: argparse.Namespace) -> int:
     """Until SIGTERM or SIGINT."""
     service = build(given)
+    if given.metrics:
+        service.publish()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, service.stop.set)
     return await service.run(given.listen, given.operators)
 
 
-def main() -> int:
+def main(argv: Sequence[str] | None = None, prog: str = "python -m registry") -> int:
     """One plain line and 1 where it can't be done."""
-    handler = logging.StreamHandler()
-    handler.addFilter(Bounded())
-    logging.basicConfig(
-        level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", handlers=[handler]
-    )
-    given = options().parse_args()
+    given = options(prog).parse_args(argv)
+    if given.call != "backup":
+        logs.start(given.log_form, given.log_level)
     try:
         if given.call == "backup":
             backup(given.store, given.to)
             return 0
         return uvloop.run(serve(given))
+    except ModuleNotFoundError as missing:  # what --metrics needs
+        print(f"registry: {missing.name} is missing: install requirements-tools.txt", file=sys.stderr)
+        return 1
     except (Damaged, OSError) as wrong:
         print(f"registry: {wrong}", file=sys.stderr)
         return 1
--- a/registry/copies.py
+++ b/registry/copies.py
@@ -3,18 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import sqlite3
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from ops import logs
+
 from . import keep
 from .entries import DELETED, Entry, Invalid, News, Record
 from .follow import Address, Follow
 from .service import Service, Stored
 from .store import FOLLOWER, Damaged, Store, may_pass
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 
 SAVE_EVERY = 1.0  # seconds between two writings of an agent's file
 
@@ -99,9 +100,9 @@
                 keep.load(self.kept, self.ledger)
                 self.follow.held_since(self.kept)
             except FileNotFoundError:
-                log.info("%s: no list is kept yet", self.kept)
+                log.info("kept_list_missing", file=self.kept)
             except (OSError, ValueError) as wrong:
-                log.warning("%s not used: %s", self.kept, wrong)
+                log.warning("kept_list_unusable", file=self.kept, error=wrong)
             self.start(self._save())
         self.start(self.follow.run())
 
@@ -123,7 +124,7 @@
             keep.save(self.kept, life, body)
         except OSError as wrong:
             self.counts["not_kept"] += 1
-            log.warning("%s: the list could not be kept: %s", self.kept, wrong)
+            log.warning("kept_list_not_written", file=self.kept, error=wrong)
 
     async def _save(self) -> None:
         while True:
--- a/registry/entries.py
+++ b/registry/entries.py
@@ -11,6 +11,8 @@
 from functools import cached_property
 from typing import Any
 
+from ops.http import Invalid
+
 SERVING, DRAINING, DELETED = "SERVING", "DRAINING", "DELETED"
 STATES = (SERVING, DRAINING, DELETED)
 NUMBER_MOST = 2**53 - 1  # the largest that every JSON reader keeps exact
@@ -20,10 +22,6 @@
 LEASE_LEAST, LEASE_MOST = 1_000, 86_400_000  # milliseconds
 
 
-class Invalid(ValueError):
-    """Something from outside that makes no sense; the text says what, in one line."""
-
-
 @dataclass(frozen=True)
 class Entry:
     """One host, with the fields that the discovery page gives it."""
--- a/registry/follow.py
+++ b/registry/follow.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import random
 import time
 from collections import Counter
@@ -13,10 +12,12 @@
 
 import h11
 
+from ops import logs
+
 from .entries import Invalid, News, digits, parse_news
 from .ledger import Ledger
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 
 PATH = "/registry/instances"
 LIFE = "Registry-Life"  # the header that tells the life of a list
@@ -117,7 +118,7 @@
                 self.counts["failures"] += 1
                 why = str(wrong) or type(wrong).__name__
                 if self.said.get(where) != why:  # once, until it answers or fails in another way
-                    log.warning("%s:%d left: %s", *where, why)
+                    log.warning("source_left", address=where, error=why)
                 self.said[where] = why
             self.at = (self.at + 1) % len(self.services)
             span = min(BACK_OFF_MOST, BACK_OFF * 2 ** min(self.failures // len(self.services), 16))
@@ -135,7 +136,7 @@
                 if not await self._heard(answer):
                     return
                 if first:
-                    log.info("%s:%d followed, seq %d", *where, self.ledger.seq)
+                    log.info("source_followed", address=where, seq=self.ledger.seq)
                     self.said.pop(where, None)
                 first, self.failures = False, 0
                 if not answer.again:
@@ -159,7 +160,9 @@
         held = (self.ledger.life, self.ledger.seq)
         if (news.life, news.seq) < held:
             self.counts["older"] += 1
-            log.warning("older news passed by: life %d seq %d, held %d and %d", news.life, news.seq, *held)
+            log.warning(
+                "older_news_passed_by", life=news.life, seq=news.seq, held_life=held[0], held_seq=held[1]
+            )
             return False
         if not news.whole and news.seq < self.ledger.seq:  # changes against a list that we don't hold
             self.doubted = True
--- a/registry/primary.py
+++ b/registry/primary.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import sqlite3
 import time
 from collections.abc import Callable, Collection
 from dataclasses import replace
 from typing import Any
 
+from ops import logs
+from ops.http import Exchange, Refused, Request
+
 from .entries import (
     BLOCK_MOST,
     DELETED,
@@ -28,13 +30,12 @@
     share,
     whole_number,
 )
-from .http import Exchange, Refused, Request
 from .leases import TICK, Leases
 from .ledger import Ledger
 from .service import END_WITHIN, Stored, dump
 from .store import PRIMARY, Damaged, Store, may_pass
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 
 BATCH_MOST = 256  # writes in one transaction
 QUEUE_MOST = 4_096  # writes that wait for theirs
@@ -248,7 +249,7 @@
         if record is None or not self.leases.ran_out(host):
             return None
         self.counts["lapsed"] += 1
-        log.warning("lease of %s ran out: taken off", host)
+        log.warning("lease_expired", host=host)
         return record.entry.now(DELETED), None
 
     def _ask(self, exchange: Exchange, decide: Decide) -> None:
@@ -274,7 +275,7 @@
             except sqlite3.Error as wrong:
                 self.busy, self.full = False, True
                 self.leases.leaving.clear()
-                log.error("%d writes refused, the store can't take them: %s", len(batch), wrong)
+                log.error("writes_refused", writes=len(batch), error=wrong)
                 for _, exchange in batch:
                     if exchange:
                         exchange.refuse(Refused(503, "not stored, nothing has changed", {"Retry-After": "1"}))
@@ -331,14 +332,10 @@
             before = self.leases.held
             self._take_off(self.leases.look())
             if self.leases.held and not before:
-                log.error(
-                    "list held: %d of %d leases ran out at once, nobody is taken off; "
-                    "POST /hold confirms that they are gone",
-                    len(self.leases.held),
-                    len(self.leases.heard),
-                )
+                # Nobody is taken off until hosts are heard again or POST /hold confirms that they are gone.
+                log.error("list_held", leases_out=len(self.leases.held), leases=len(self.leases.heard))
             elif before and not self.leases.held:
-                log.warning("list no longer held: hosts are heard again")
+                log.warning("list_released")
 
     def _take_off(self, hosts: Collection[str]) -> None:
         for host in hosts:
@@ -357,7 +354,7 @@
             fields(raw, ("held",))
             if whole_number(raw["held"], "held") != len(held) or not held:
                 raise Refused(409, f"held now: {len(held)}; look again", held=len(held))
-            log.warning("operator confirmed: %d hosts are gone", len(held))
+            log.warning("hold_confirmed", hosts=len(held))
             self._take_off(self.leases.confirm())
             exchange.answer(dump({"taken_off": len(held)}))
         else:
--- a/registry/reading.py
+++ b/registry/reading.py
@@ -5,9 +5,10 @@
 import asyncio
 from collections.abc import Callable
 
+from ops.http import Exchange, Refused, Request
+
 from .entries import digits
 from .follow import LIFE
-from .http import Exchange, Refused, Request
 from .ledger import Ledger
 
 INSTANCES = ["registry", "instances"]
--- a/registry/service.py
+++ b/registry/service.py
@@ -4,19 +4,23 @@
 
 import asyncio
 import json
-import logging
 import resource
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+from ops import logs
+from ops.http import Exchange, Refused, Request, Server
 
 from .follow import Address, Follow
-from .http import Exchange, Refused, Request, Server
 from .ledger import Ledger
 from .reading import INSTANCES, Reading
 from .store import Store
 
-log = logging.getLogger(__name__)
+if TYPE_CHECKING:
+    from ops.metrics import Page
+
+log = logs.get(__name__)
 
 OPERATORS = 16  # connections at the address for operators
 END_WITHIN = 2.0  # seconds
@@ -40,9 +44,16 @@
         self.readers = Server(self.handle, connections)
         self.operators = Server(self.operate, OPERATORS)
         self.tasks: list[asyncio.Task] = []
+        self.page: Page | None = None  # where metrics are on
         self.stop = asyncio.Event()
         self.failed = False  # it ends for a reason of its own
 
+    def publish(self) -> None:
+        """Answer GET /metrics at the operators' address from now on."""
+        from .metrics import page  # heavy: only where it is wanted
+
+        self.page = page(self)
+
     def age(self) -> float | None:
         """Seconds since what is held was known to hold; None where nobody was heard yet."""
         return self.follow.age() if self.follow else 0.0
@@ -77,8 +88,14 @@
             exchange.answer(b'{"ok":true}')
         elif call == ("GET", "figures"):
             exchange.answer(dump(self.figures()))
+        elif call == ("GET", "metrics") and self.page:
+            self.page.tell(exchange)
         else:
-            raise Refused(404, "no such call: GET /health, GET /figures, at a primary GET or POST /hold")
+            raise Refused(
+                404,
+                "no such call: GET /health, GET /figures, with --metrics GET /metrics, "
+                "at a primary GET or POST /hold",
+            )
 
     def trouble(self) -> str | None:
         """What an operator should know at once."""
@@ -110,7 +127,13 @@
         await self.operators.listen(operators)
         await self.begin()
         await self.readers.listen(listen)
-        log.info("%s: %d hosts, life %d, seq %d", self.role, len(self.ledger.records), *self.place())
+        log.info(
+            "serving",
+            role=self.role,
+            hosts=len(self.ledger.records),
+            life=self.ledger.life,
+            seq=self.ledger.seq,
+        )
         await self.stop.wait()
         self.readers.ending = True
         await self.last()
@@ -121,7 +144,7 @@
         await self.readers.end(END_WITHIN)
         await self.operators.end(0.0)
         await self.ended()
-        log.info("ended, life %d, seq %d", *self.place())
+        log.info("ended", role=self.role, life=self.ledger.life, seq=self.ledger.seq)
         return 1 if self.failed else 0
 
     def place(self) -> tuple[int, int]:
@@ -136,7 +159,7 @@
 
     def _broken(self, task: asyncio.Task) -> None:
         if not task.cancelled() and (wrong := task.exception()):
-            log.error("ending: %r", wrong)
+            log.error("broken", error=wrong)
             self.failed = True
             self.stop.set()
 
--- a/saffrongw/config.py
+++ b/saffrongw/config.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Collection
 from dataclasses import dataclass
 from typing import Any
 
+from ops import logs
 from orchidlane import interface as api
 from orchidlane import wire
 
@@ -44,6 +46,9 @@
     sockets: int
     memory: int  # bytes
     control: Address | None  # where operators call
+    metrics: Address | None  # where a monitoring system reads GET /metrics; None: nowhere
+    log_form: str  # one of ops.logs.FORMS
+    log_level: str  # one of ops.logs.LEVELS
     peer_listen: Address | None
     peers: tuple[Address, ...]
     known: HostList
@@ -84,6 +89,12 @@
     return HostList(int(raw["seq"]), bool(raw["whole"]), tuple(hosts), odd)
 
 
+def _one_of(words: Collection[str], word: str) -> str:
+    if word not in words:
+        raise ValueError(f"{word!r} is none of {', '.join(words)}")
+    return word
+
+
 def parse(text: str) -> Config:
     """The whole configuration."""
     raw = json.loads(text)
@@ -91,6 +102,7 @@
     zones = tuple(settings["zones"])
     peers = raw.get("peers") or ()
     may = settings["permissions"]
+    told = raw.get("log") or {}
     return Config(
         listen=address(raw["listen"]),
         discovery=address(raw["discovery"]),
@@ -98,6 +110,9 @@
         sockets=int(raw["limits"]["sockets"]),
         memory=int(float(raw["limits"].get("memory_mb", MEMORY_MB)) * 1024 * 1024),
         control=address(raw["control"]) if raw.get("control") else None,
+        metrics=address(raw["metrics"]) if raw.get("metrics") else None,
+        log_form=_one_of(logs.FORMS, told.get("form", "text")),
+        log_level=_one_of(logs.LEVELS, told.get("level", "info")),
         peer_listen=address(raw["peer_listen"]) if peers and raw.get("peer_listen") else None,
         peers=tuple(address(peer) for peer in peers),
         known=parse_hosts(raw.get("known") or {"seq": 0, "whole": True, "hosts": ()}, zones),
--- a/saffrongw/control.py
+++ b/saffrongw/control.py
@@ -3,21 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import logging
+from typing import Protocol
+
+from ops import logs
 
 from .clients import Clients
 from .config import Address
 from .driver import Driver
-from .upgrade import Elder, Seat
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 
 CALLERS_MOST = 12  # connections at once: one more closes the one that has been silent longest
 LINE_MOST = 512  # bytes of a call
 SILENT_FOR = 10.0  # seconds until a caller without a whole call is closed
 TAKEN_WITHIN = 1.0  # seconds that a caller has to take its answer and close
 LOOK_EVERY = 0.01  # seconds between two looks whether a handover is over
-BIND_EVERY = 0.5  # seconds until an address that is taken is tried again
 
 
 class Caller(asyncio.Protocol):
@@ -85,6 +85,13 @@
         self.control.callers.pop(self, None)
 
 
+class Other(Protocol):
+    """The process before this one, or the one after it, as far as operators' calls go there."""
+
+    async def ask(self, line: bytes) -> str:
+        """Have it carry out a call; what it said."""
+
+
 class Control:
     """The listener for operators; every call is carried out at once, and may be repeated."""
 
@@ -92,19 +99,12 @@
         self.driver, self.clients, self.loop = driver, clients, driver.loop
         self.callers: dict[Caller, None] = {}  # the one that connected first stands first
         self.server: asyncio.Server | None = None
-        self.elder: Elder | None = None  # the process before this one, as long as it finishes
-        self.seat: Seat | None = None  # where the next process takes over, or has
+        self.elder: Other | None = None  # the process before this one, as long as it finishes
+        self.seat: Other | None = None  # where the next process takes over, or has
 
     async def listen(self, address: Address) -> None:
-        """Answer from now on; where the address is taken, by the process before this one, once it is free."""
-        while self.server is None:
-            try:
-                self.server = await self.loop.create_server(
-                    lambda: Caller(self), *address, backlog=CALLERS_MOST
-                )
-            except OSError as wrong:
-                log.error("no control at %s:%d yet: %s", *address, wrong)
-                await asyncio.sleep(BIND_EVERY)
+        """Answer from now on; raises OSError."""
+        self.server = await self.loop.create_server(lambda: Caller(self), *address, backlog=CALLERS_MOST)
 
     def opened(self, caller: Caller) -> None:
         """One more; a new one is never the one that goes."""
@@ -135,16 +135,16 @@
         """Carry out one call in this process."""
         match line.split(b" "):
             case [b"LEAVE"]:
-                log.info("control: leave")
+                log.info("control_call", call="leave")
                 self.clients.leave()
                 return "done draining"
             case [b"JOIN"]:
-                log.info("control: join")
+                log.info("control_call", call="join")
                 return self.clients.join()
             case [b"OFFLINE" | b"ONLINE" as word, server]:
                 if not self.driver.ban(server, word == b"OFFLINE"):
                     return "error no such host was ever listed"
-                log.info("control: %s %s", word.decode(), server.decode(errors="replace"))
+                log.info("control_call", call=word.decode().lower(), host=server)
                 if self.elder:
                     await self.elder.ask(line)  # what it still finishes keeps to it, too
                 return "done out" if word == b"OFFLINE" else "done back"
--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -4,14 +4,15 @@
 
 import asyncio
 import json
-import logging
 from collections.abc import Callable
 
 import h11
 
+from ops import logs
+
 from .config import Address, HostList, parse_hosts
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 
 PATH = "/registry/instances"
 WAIT = 2.0  # seconds that a call may wait for news: until then nothing tells a quiet agent from a hung one
@@ -67,7 +68,7 @@
                     if again:
                         self.http.start_next_cycle()
                     if listed is None:
-                        log.warning("discovery: answered %d", self.status)
+                        log.warning("discovery_refused", status=self.status, address=self.watch.address)
                         self.watch.refused(again)
                     else:
                         self.watch.answered(listed, again)
@@ -77,7 +78,7 @@
                 elif isinstance(event, h11.ConnectionClosed):
                     break
         except (ValueError, KeyError, TypeError, AttributeError, h11.ProtocolError) as wrong:
-            log.warning("discovery: %s", wrong)
+            log.warning("discovery_failed", error=wrong, address=self.watch.address)
             self.watch.version = None  # what it holds is in doubt: the whole list
             self.transport.abort()
 
@@ -188,7 +189,7 @@
         if again:
             self._ask()
         if listed.odd:
-            log.warning("discovery: %d odd entries left out", listed.odd)
+            log.warning("discovery_odd_entries", left_out=listed.odd, version=listed.version)
         if listed.whole or listed.hosts:
             self.told(listed)
 
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -6,13 +6,13 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import ClassVar, Protocol
 
+from ops import logs
 from orchidlane import interface as api
 from orchidlane.rules import Gateway
 
@@ -20,7 +20,7 @@
 from .readiness import Readiness
 from .stats import Stats
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 
 MS = 1_000  # microseconds
 # The client's clock started when it sent: so much before its time is up the last answer must be on its way.
@@ -134,6 +134,17 @@
         """What concerns it of what happens here."""
 
 
+class Observer(Protocol):
+    """What the driver tells ``metrics.py``, where that is on; spans in microseconds."""
+
+    def answered(self, kind: int, outcome: str, server: api.Server, took: int) -> None:
+        """A request of this class got its final answer, or its client went; server is empty where no host
+        served it."""
+
+    def attempted(self, outcome: api.Outcome, server: api.Server, took: int) -> None:
+        """An attempt has ended."""
+
+
 class Clock:
     """Unix time in microseconds, read once and then advanced by the monotonic clock: it never jumps."""
 
@@ -160,6 +171,7 @@
         self.feeding = False
         self.frozen = False  # the state is being handed over: events wait
         self.heir: Heir | None = None  # the process that owns the counts now
+        self.observer: Observer | None = None
 
     def start(self, known: HostList) -> None:
         """The first actions, and the list as it was last known, before any client is served."""
@@ -203,6 +215,7 @@
         """The client has closed its connection: nothing is owed any more."""
         if not call.finished:
             self.stats["client_gone"] += 1
+            self._observe(call, "client_gone")
             self._close(call)
             if call.elsewhere:
                 self.heir.client_gone(call)
@@ -226,8 +239,11 @@
         call = attempt.call
         if value is not None and not call.finished:
             self.stats["served"] += 1
+            self._observe(call, "served", attempt.server)
             self._finish(call, value)
         took = self.clock() - attempt.sent
+        if self.observer:
+            self.observer.attempted(outcome, attempt.server, took)
         self.feed(
             api.AttemptEnded(
                 call.event.request,
@@ -250,6 +266,7 @@
             return None
         self.stats["served"] += 1
         self.stats["streamed"] += 1
+        self._observe(call, "served", attempt.server)
         self._close(call)
         call.sink.begin(length, source)
         self.attempt_ended(attempt, api.Outcome.SERVED)
@@ -299,7 +316,7 @@
         try:
             actions = self.gateway.handle(self.clock(), event)
         except Exception:  # guards against a fault of the decisions taking all held requests with it
-            log.exception("the decisions failed on %s", event.topic)
+            log.exception("decisions_failed", topic=event.topic)
             number = event.token - 1 if isinstance(event, api.TimerFired) else getattr(event, "request", 0)
             call = self.calls.get(number)
             if call is not None and not call.finished:
@@ -381,12 +398,14 @@
     def _refuse(self, action: api.Refuse) -> None:
         if call := self.calls.get(action.request):
             self.stats["refused_" + action.cause.value] += 1
+            self._observe(call, "refused")
             wait = -(-action.retry_after // MS)  # a client that came back earlier would be refused again
             self._finish(call, b"-BUSY %d\r\n" % wait if wait else b"-BUSY\r\n")
 
     def _fail(self, action: api.Fail) -> None:
         if call := self.calls.get(action.request):
             self.stats["failed"] += 1
+            self._observe(call, "failed")
             self._finish(call, FAILED)
 
     def _set_timer(self, action: api.SetTimer) -> None:
@@ -419,6 +438,11 @@
             self._close(call)
             call.answer(reply)
 
+    def _observe(self, call: Call, outcome: str, server: api.Server = b"") -> None:
+        if self.observer:
+            took = self.clock() - call.until + call.event.time_left
+            self.observer.answered(call.event.kind, outcome, server, took)
+
     def _close(self, call: Call) -> None:
         call.finished = True
         if all(attempt.ended for attempt in call.attempts):
@@ -439,7 +463,8 @@
         for attempt in call.attempts:
             self._timed_out(attempt)
         if not call.finished:
-            log.warning("a request was left unanswered by the decisions")
+            log.warning("request_unanswered", request=call.parts[2], customer=f"{call.event.customer:016x}")
+            self._observe(call, "failed")
             self._finish(call, FAILED)
             if not call.elsewhere:
                 self.feed(api.ClientGone(call.event.request))
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
 from collections import deque
 
@@ -19,8 +18,6 @@
 from .driver import Attempt, Driver, Sink
 from .resp import CRLF, VALUE_MOST, Reader
 
-log = logging.getLogger(__name__)
-
 ANSWER_MOST = 2 * VALUE_MOST  # bytes of a whole answer but for a large value: figures and a report
 PIECE_MOST = 256 * 1024  # bytes that wait in a socket: bounds a piece, where the client is slow
 SILENT_FOR = 10.0  # seconds that a host may leave a large answer without a byte
--- a/saffrongw/upgrade.py
+++ b/saffrongw/upgrade.py
@@ -12,14 +12,14 @@
 import asyncio
 import contextlib
 import json
-import logging
 import os
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from itertools import islice
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
+from ops import logs
 from orchidlane import handover
 from orchidlane import interface as api
 
@@ -28,10 +28,7 @@
 from .driver import FAILED, ON_THE_WAY, Call, Driver, Terms
 from .peers import Peers
 
-if TYPE_CHECKING:
-    from .control import Control
-
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 
 VERSION = 1
 LINE_MOST = 2 * 1024 * 1024  # bytes of a message: a request's largest body, or some rows
@@ -43,6 +40,8 @@
 LOOK_EVERY = 0.1  # seconds between two looks at what the elder still holds
 ASKED_WITHIN = 0.5  # seconds for the other process to carry out an operator's call
 
+CarryOut = Callable[[bytes], Awaitable[str]]  # an operator's call, to the line that answers it
+
 # What a message of the other process may raise, as well as the channel itself.
 BROKEN = (OSError, EOFError, asyncio.LimitOverrunError, RecursionError, *handover.WRONG)
 
@@ -99,9 +98,9 @@
     """The elder's side: waits for the next process, hands over to it once, and finishes what is left."""
 
     def __init__(
-        self, driver: Driver, clients: Clients, peers: Peers | None, control: Control, stop: asyncio.Event
+        self, driver: Driver, clients: Clients, peers: Peers | None, carry_out: CarryOut, stop: asyncio.Event
     ) -> None:
-        self.driver, self.clients, self.peers, self.control = driver, clients, peers, control
+        self.driver, self.clients, self.peers, self.carry_out = driver, clients, peers, carry_out
         self.loop, self.stop = driver.loop, stop
         self.sock: socket.socket | None = None
         self.channel: Channel | None = None  # to the process that has taken over
@@ -126,7 +125,7 @@
             finally:
                 os.close(folder)
         except OSError as wrong:
-            log.error("upgrade: nobody can take over from here: %s", wrong)
+            log.error("handover_unavailable", error=wrong)
             return
         self.tasks.append(self.loop.create_task(self._wait()))
 
@@ -136,7 +135,7 @@
             try:
                 await self._hand_over(sock)
             except (TimeoutError, *BROKEN) as wrong:
-                log.warning("upgrade: not handed over, serving on: %r", wrong)
+                log.warning("handover_failed", error=wrong)
                 sock.close()
         self.sock.close()
         self._finish()
@@ -198,7 +197,7 @@
     # -- what is left to do, as the driver's heir
 
     def _finish(self) -> None:
-        log.info("upgrade: handed over, finishing %d requests", len(self.driver.calls))
+        log.info("handover_done", requests_left=len(self.driver.calls))
         self.driver.readiness.handed_on = True
         self.clients.hand_on()
         self.driver.hosts.close_idle()
@@ -210,7 +209,7 @@
                 client.close_if_idle()
             self.channel.send(sockets=[len(self.clients.open), self.driver.hosts.sockets])
             await asyncio.sleep(LOOK_EVERY)
-        log.info("upgrade: nothing is left to finish")
+        log.info("handover_finished")
         self.channel.writer.close()
         with contextlib.suppress(OSError):
             await self.channel.writer.wait_closed()
@@ -231,7 +230,7 @@
                 self.driver.answered_elsewhere(call.event.request, FAILED)
 
     async def _say(self, number: int, line: str) -> None:
-        self.channel.send(said=number, text=await self.control.here(line.encode("latin-1")))
+        self.channel.send(said=number, text=await self.carry_out(line.encode("latin-1")))
 
     def arrived(self, call: Call) -> None:
         """A request that was read here: the next process decides on it."""
@@ -313,7 +312,7 @@
             raise EOFError("it hands nothing over")
         return Elder(sock, [socket.socket(fileno=number) for number in descriptors], config)
     except (OSError, EOFError) as wrong:
-        log.warning("upgrade: nobody hands over, starting alone: %r", wrong)
+        log.warning("takeover_refused", error=wrong)
         sock.close()
         return None
 
@@ -336,7 +335,7 @@
         self.asked: dict[int, asyncio.Future[str]] = {}
         self.tasks: list[asyncio.Task] = []
         self.share: Callable[[int, int], None] = lambda clients, hosts: None
-        self.control: Control | None = None
+        self.carry_out: CarryOut | None = None  # an operator's call, in this process
 
     async def take(self, driver: Driver, told: asyncio.Event) -> bool:
         """Take the state over, once discovery has told or had its time; False: we start alone."""
@@ -359,14 +358,14 @@
                 self._began(message)
             self.sock.send(json.dumps({"serving": True}).encode() + b"\n")  # at once or not at all
         except (TimeoutError, *BROKEN) as wrong:
-            log.warning("upgrade: not taken over, starting alone: %r", wrong)
+            log.warning("takeover_failed", error=wrong)
             self._gone()
             if self.channel:
                 self.channel.writer.transport.abort()
                 self.channel = None
             self.sock.close()
             return False
-        log.info("upgrade: taken over, %d customers, %d attempts out", len(rows), len(out))
+        log.info("takeover_done", customers=len(rows), attempts_out=len(out))
         return True
 
     async def _state(self) -> tuple[dict[str, Any], list[Any], list[Any]]:
@@ -377,9 +376,9 @@
                 out.append(message["began"])
         return state, rows, out
 
-    def hear(self, control: Control) -> None:
+    def hear(self, carry_out: CarryOut) -> None:
         """From now on the elder one is heard, until it ends."""
-        self.control = control
+        self.carry_out = carry_out
         self.share(self.config.sockets // 6, self.config.sockets // 3)
         self.tasks.append(self.driver.loop.create_task(self._hear()))
 
@@ -388,7 +387,7 @@
             while True:
                 self._carry_out(await self.channel.receive())
         except BROKEN as end:
-            log.info("upgrade: the process before this one has ended: %r", end)
+            log.info("elder_ended", error=end)
         self.channel.writer.close()
         self.channel = None
         self._gone()
@@ -420,7 +419,7 @@
                 self.asked.pop(number).set_result(text)
 
     async def _say(self, number: int, line: str) -> None:
-        text = await self.control.here(line.encode("latin-1"))
+        text = await self.carry_out(line.encode("latin-1"))
         if self.channel:
             self.channel.send(said=number, text=text)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import socket
 
 import pytest
 from conftest import FakeHost, Rig, asyncio_test, until
 
 from saffrongw import clients as clients_module
+from saffrongw import listening
 from saffrongw.clients import SEEN_WITHIN, TAKEN_FOR
 from saffrongw.control import CALLERS_MOST, LINE_MOST, Control
 
@@ -122,11 +124,15 @@
     caller = await rig.caller()
     control = Control(rig.driver, rig.clients)
     with socket.create_server(("127.0.0.1", 0)) as taken:
-        listening = asyncio.create_task(control.listen(taken.getsockname()))
+        where = taken.getsockname()
+        listen = functools.partial(control.listen, where)
+        with pytest.raises(listening.NoStart, match="another process listens there"):
+            await listening.when_free("operators", where, listen, patient=False)
+        trying = await listening.when_free("operators", where, listen, patient=True)
         caller.call()
         assert await caller.replied() == [b"ok"]
         assert control.server is None
-    await listening
+    await trying
     assert (await call(control, b"HEALTH")).startswith("done")
 
 
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -132,10 +132,18 @@
     ):
         file.write_text(unusable)
         process.send_signal(signal.SIGHUP)
-        while b"no usable configuration after SIGHUP" not in await process.stderr.readline():
+        while b"event=config_unusable" not in await process.stderr.readline():
             assert process.returncode is None
-    file.write_text(json.dumps(text | {"discovery": places[1]}))
+    rules = SITE | {"rules": SITE["rules"] | {"drainGrace": 7}}
+    moved = text | {"discovery": places[1], "seed": "02", "settings": rules, "log": {"form": "json"}}
+    file.write_text(json.dumps(moved))
     process.send_signal(signal.SIGHUP)
+    while b"config_read" not in (said := await process.stderr.readline()):
+        assert process.returncode is None
+    event = json.loads(said)
+    assert event["in_force"] == ["discovery", "log_form"]
+    assert event["needs_restart"] == ["settings.drain_grace"]
+    assert sorted(event["changed"]) == ["discovery", "log_form", "settings.drain_grace"]
     await until(lambda: len(agents[1].asked) == 2)
     await until(lambda: agents[0].transport.is_closing())
     process.send_signal(signal.SIGTERM)
--- a/tests/test_registry_calls.py
+++ b/tests/test_registry_calls.py
@@ -10,7 +10,7 @@
 from conftest import asyncio_test
 from listing import PATH, Registry, Wire, address_of, call, host, names
 
-from registry.http import Server
+from ops.http import Server
 
 
 async def one(registry: Registry, **options):
--- a/tests/test_registry_copies.py
+++ b/tests/test_registry_copies.py
@@ -192,7 +192,7 @@
             kept.write_bytes(bad)
             await reader.start()
             assert (await reader.list()).status == 503
-            assert b"not used" in reader.log
+            assert b"event=kept_list_unusable" in reader.log
             reader.log.clear()
             await reader.kill()
         kept.write_bytes(raw)
@@ -378,4 +378,4 @@
         reader = await agent(registry, free_address()).start()
         while (await reader.figures())["counts"].get("failures", 0) < 4:
             await asyncio.sleep(0.02)
-        assert reader.log.decode().count(" left: ") == 1
+        assert reader.log.decode().count("event=source_left") == 1
--- a/tests/test_registry_fleet.py
+++ b/tests/test_registry_fleet.py
@@ -222,4 +222,4 @@
         assert await node.stop() == 0
         await node.reading
         lines = node.log.decode().splitlines()
-        assert 200 <= len(lines) < 260 and "lines left out" in lines[-1]
+        assert 200 <= len(lines) < 260 and "lines_kept_back=" in lines[-1]
--- a/tests/test_registry_leases.py
+++ b/tests/test_registry_leases.py
@@ -170,7 +170,7 @@
                 await asyncio.sleep(0.05)
         health = await call(node.operators, "GET", "/health")
         assert health.status == 503 and "held" in health["error"]
-        assert b"list held" in node.log
+        assert b"event=list_held leases_out=8 leases=9" in node.log
         assert len((await node.list())["hosts"]) == 9
         for body in ({"held": 7}, {"held": 9}):  # not what is held now
             assert (await call(node.operators, "POST", "/hold", body)).status == 409
