--- /dev/null
+++ b/birchdrum/__init__.py
@@ -0,0 +1,1 @@
+"""The command line over the gateway and the list service."""
