birchdrum: configuration in TOML, command line, stand-ins in lab/ and a demo fleet

TOML is decoded to types by msgspec; a walk over the types collects every mistake with key, value and what is expected; relations (ranks, peers, zones, ceilings, descriptors, memory, addresses) are checked after. File, then environment, then flags. convert goes both ways without loss: what the types do not know travels by JSON pointer in [platform]; a property test puts keys, nulls and odd numbers into the platform's file and gets it back to the value (150 files). birchdrum demo runs the list service and gateways as processes, hosts and clients as stand-ins; children end with it. Found while building: the stand-in host broke every attempt (a wrong argument to its parser); attempt_broken in the gateways' figures showed it at once.

--- /dev/null
+++ b/birchdrum/model.py
@@ -0,0 +1,201 @@
+"""A gateway's configuration as a person writes it: every key with its type, unit, range and default.
+
+What a key means to the decisions stands in the platform's pages, by its name in ``convert.py``.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+from .units import KINDS, Address, Duration, Size
+
+Name = Annotated[
+    str, Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$", description="1 to 64 letters, digits, '.', '_' or '-'")
+]
+Seed = Annotated[
+    str, Meta(pattern=r"^[0-9A-Fa-f]{1,16}$", description='up to 16 hex digits, such as "8c1f30d2"')
+]
+Part = Annotated[float, Meta(ge=0, le=1, description="a number from 0 to 1")]
+Amount = Annotated[float, Meta(ge=0, description="a number of 0 or more")]
+Positive = Annotated[float, Meta(gt=0, description="a number above 0")]
+Count = Annotated[int, Meta(ge=0, description="a whole number of 0 or more")]
+Many = Annotated[int, Meta(ge=1, description="a whole number of 1 or more")]
+
+
+def _usual(value: Duration | Size) -> Any:
+    """A default that msgspec's schema does not try to encode; ``schema`` puts its text there."""
+    return field(default_factory=lambda: value)
+
+
+class Strict(Struct, forbid_unknown_fields=True, kw_only=True):
+    """A table of the file; what it does not know is a mistake."""
+
+
+class Log(Strict):
+    """What is written to standard error. Takes effect with SIGHUP."""
+
+    form: Annotated[Literal["text", "json"], Meta(description='"text" (logfmt) or "json"')] = "text"
+    level: Annotated[
+        Literal["debug", "info", "warning", "error"], Meta(description="debug, info, warning or error")
+    ] = "info"
+
+
+class Limits(Strict):
+    """What the process may take up."""
+
+    memory: Size = _usual(Size("64MiB"))
+    descriptors: Many = 256
+    cores: Positive = 1.0
+
+
+class Fleet(Strict):
+    """All gateways that keep the quotas together."""
+
+    rank: Count = 0
+    gateways: Many = 1
+    peers: list[Address] = field(default_factory=list)
+    listen: Address | None = None
+    everyone: Address | None = None
+    intake: Amount = 50.0
+    shared_counter: bool = False
+
+
+class Hosts(Strict):
+    """What holds for all hosts."""
+
+    connect_timeout: Duration = _usual(Duration("250ms"))
+    idle_close: Duration = _usual(Duration("15s"))
+    reports: Annotated[
+        Literal["inline", "on_probe", "off"], Meta(description='"inline", "on_probe" or "off"')
+    ] = "off"
+    report_names: list[str] = field(default_factory=list)
+    cold_from: Part = 0.25
+    warm_within: Duration = _usual(Duration("10s"))
+    fall_multiple: Positive = 2.0
+    overload_for: Duration = _usual(Duration("2s"))
+    drain_within: Duration = _usual(Duration("250ms"))
+    lists: Annotated[Literal["pushed", "on_request"], Meta(description='"pushed" or "on_request"')] = "pushed"
+    ask_within: Duration = _usual(Duration("10s"))
+
+
+class Requests(Strict):
+    """What may be done for a request."""
+
+    attempts: Many = 4
+    cancel: bool = True
+    second_copies: bool = True
+    probes: bool = False
+    gossip: bool = True
+    retry_after: bool = True
+    retry_after_most: Duration = _usual(Duration("1s"))
+    units_most: Many = 1
+
+
+class Prices(Strict):
+    """What the decisions weigh: parts of a request's worth."""
+
+    cross_zone: Amount = 0.0
+    peer: Amount = 0.0
+    probe: Amount = 0.0
+    waste: Amount = 0.0
+
+
+class Class(Strict):
+    """A class of requests."""
+
+    name: Name
+    effect: Annotated[
+        Literal["repeatable", "by_key", "once"], Meta(description='"repeatable", "by_key" or "once"')
+    ]
+    deadline: Duration
+    aim: Duration
+    group: Annotated[Literal["all", "zone", "cell"], Meta(description='"all", "zone" or "cell"')] = "all"
+    repeat_window: Duration = _usual(Duration("0s"))
+    worth: Amount = 1.0
+    late_worth: Part = 0.0
+
+
+class Plan(Strict):
+    """Quotas of each customer of a plan, over all gateways together."""
+
+    name: Name
+    rate: Amount
+    burst: Amount
+    open: Count = 0
+    price: Amount = 1.0
+    beyond_earns: Amount = 0.0
+    beyond_costs: Amount = 1.0
+    ceiling_rate: Amount = 0.0
+    ceiling_burst: Amount = 0.0
+    ceiling_slack: Amount = 0.0
+
+
+class KnownHost(Strict):
+    """A host as discovery's list named it."""
+
+    host: str
+    dial: Address
+    site: str
+    kind: str = "host"
+    block: Count = 0
+    health: Annotated[Literal["SERVING", "DRAINING"], Meta(description="SERVING or DRAINING")] = "SERVING"
+    share: Positive = 1.0
+    born_ms: Count = 0
+
+
+class Known(Strict):
+    """The list of hosts as it was last known; discovery's replaces it."""
+
+    version: Count = 0
+    whole: bool = True
+    hosts: list[KnownHost] = field(default_factory=list)
+
+
+class Platform(Strict):
+    """What the platform's own file says besides, by JSON pointer; ``convert`` keeps it here."""
+
+    values: dict[str, str] = field(default_factory=dict)
+    absent: list[str] = field(default_factory=list)
+
+
+class Config(Strict):
+    """One gateway."""
+
+    listen: Address
+    discovery: Address
+    classes: list[Class]
+    plans: list[Plan]
+    name: Name = "gateway"
+    control: Address | None = None
+    metrics: Address | None = None
+    seed: Seed | None = None
+    zones: list[Name] = field(default_factory=lambda: ["all"])
+    zone: Name | None = None
+    log: Log = field(default_factory=Log)
+    limits: Limits = field(default_factory=Limits)
+    fleet: Fleet = field(default_factory=Fleet)
+    hosts: Hosts = field(default_factory=Hosts)
+    requests: Requests = field(default_factory=Requests)
+    prices: Prices = field(default_factory=Prices)
+    known: Known | None = None
+    platform: Platform | None = None
+
+
+def schema() -> dict[str, Any]:
+    """The JSON schema of the file."""
+
+    def hook(kind: type) -> dict[str, Any]:
+        if kind not in KINDS:
+            raise NotImplementedError(kind)
+        return {"type": "string", "description": kind.EXPECTED}
+
+    done = msgspec.json.schema(Config, schema_hook=hook)
+    for table in Strict.__subclasses__():
+        for key in msgspec.structs.fields(table):
+            usual = None if key.default_factory is msgspec.NODEFAULT else key.default_factory()
+            if isinstance(usual, Duration | Size):
+                done["$defs"][table.__name__]["properties"][key.name]["default"] = str(usual)
+    return done
--- a/ops/logs.py
+++ b/ops/logs.py
@@ -9,7 +9,7 @@
 import logging
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, MutableMapping
 from typing import Any, TextIO
 
 import structlog
@@ -21,7 +21,7 @@
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 ALWAYS = "figures"  # the field of an event whose own pace bounds it: a flood must not hide the figures
 
-Event = dict[str, Any]
+Event = MutableMapping[str, Any]
 
 
 class Bound:
--- a/ops/metrics.py
+++ b/ops/metrics.py
@@ -51,7 +51,7 @@
         self.tell(exchange)
 
 
-def labelled(family: Metric, values: Iterable[tuple[str, float]]) -> Metric:
+def labelled(family: GaugeMetricFamily | CounterMetricFamily, values: Iterable[tuple[str, float]]) -> Metric:
     """One sample for each value of a family's single label."""
     for name, value in values:
         family.add_metric([name], value)
--- a/registry/__main__.py
+++ b/registry/__main__.py
@@ -182,9 +182,9 @@
     return await service.run(given.listen, given.operators)
 
 
-def main(argv: Sequence[str] | None = None, prog: str = "python -m registry") -> int:
+def main(argv: Sequence[str] | None = None, parser: argparse.ArgumentParser | None = None) -> int:
     """One plain line and 1 where it can't be done."""
-    given = options(prog).parse_args(argv)
+    given = (parser or options()).parse_args(argv)
     if given.call != "backup":
         logs.start(given.log_form, given.log_level)
     try:
--- a/saffrongw/config.py
+++ b/saffrongw/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import secrets
 from collections.abc import Collection
 from dataclasses import dataclass
 from typing import Any
@@ -106,7 +107,7 @@
     return Config(
         listen=address(raw["listen"]),
         discovery=address(raw["discovery"]),
-        seed=int(raw["seed"], 16),
+        seed=int(raw["seed"], 16) if "seed" in raw else secrets.randbits(64),
         sockets=int(raw["limits"]["sockets"]),
         memory=int(float(raw["limits"].get("memory_mb", MEMORY_MB)) * 1024 * 1024),
         control=address(raw["control"]) if raw.get("control") else None,
