--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,99 @@
+"""Documents name only what there is: events, metrics, commands, settings."""
+
+from __future__ import annotations
+
+import json
+import re
+from pathlib import Path
+
+import yaml
+from command import run
+from conftest import FakeHost, Service, asyncio_test, free_address
+from listing import Registry
+from test_metrics import scrape
+
+from saffrongw import metrics
+
+ROOT = Path(__file__).parent.parent
+PACKAGES = ("ops", "saffrongw", "registry")
+NAMES = re.compile(r"\b(?:birchdrum|process)_[a-z_]+\b")
+
+
+def logged() -> set[str]:
+    """Names of events in the code."""
+    found: set[str] = set()
+    for package in PACKAGES:
+        for file in (ROOT / package).glob("*.py"):
+            text = file.read_text()
+            found |= set(re.findall(r"\blog\.(?:info|warning|error|exception)\(\s*\"(\w+)\"", text))
+            calls = len(re.findall(r"\blog\.(?:info|warning|error|exception)\(", text))
+            named = len(re.findall(r"\blog\.(?:info|warning|error|exception)\(\s*\"\w+\"", text))
+            assert calls == named, f"{file.name}: an event without a literal name"
+    return found | {"library_said"}
+
+
+def test_each_event_is_documented_and_no_other():
+    rows = [
+        line for line in (ROOT / "docs" / "logging.md").read_text().splitlines() if line.startswith("| `")
+    ]
+    documented = {name for row in rows for name in re.findall(r"`(\w+)`", row.split("|")[1])}
+    assert len(documented) > 25
+    assert documented == logged()
+
+
+def expressions() -> list[str]:
+    """All queries of the alert rules and the dashboard."""
+    rules = yaml.safe_load((ROOT / "docs" / "monitoring" / "alerts.yml").read_text())
+    found = []
+    for rule in [rule for group in rules["groups"] for rule in group["rules"]]:
+        assert rule["annotations"]["summary"] and rule["annotations"]["action"]
+        found.append(rule["expr"])
+    board = json.loads((ROOT / "docs" / "monitoring" / "dashboard.json").read_text())
+    return found + [target["expr"] for panel in board["panels"] for target in panel["targets"]]
+
+
+@asyncio_test
+async def test_alert_rules_and_dashboard_name_only_metrics_and_labels_that_exist(tmp_path):
+    where, exist = free_address(), set()
+    async with Registry(tmp_path) as registry, Service(tmp_path, await FakeHost("a").listen()) as service:
+        node = await registry.service().start("--new", "--metrics")
+        assert (await node.put("s-1")).status == 200
+        service.text["metrics"] = where
+        await service.start()
+        caller = await service.caller()
+        caller.call()
+        assert await caller.replied() == [b"ok"]
+        for address in (where, node.operators):
+            exist |= {name for name, _ in await scrape(address)}
+    asked = expressions()
+    named = {name for text in asked for name in NAMES.findall(text)}
+    assert len(asked) > 25 and len(named) > 20
+    assert named - exist == set()
+    values = {value for _, _, _, _, values in metrics.LABELLED for value in values} | {"served", "birchdrum"}
+    used = {v for text in asked for words in re.findall(r'\w+=~?"([^"]+)"', text) for v in words.split("|")}
+    assert used - values == set()
+
+
+def test_the_readme_lists_each_metric_and_no_other():
+    text = (ROOT / "README.md").read_text()
+    families = {f"birchdrum_{name}" for name in metrics.GAUGES}
+    families |= {f"birchdrum_{name}_total" for name in metrics.COUNTERS}
+    families |= {f"{name}_total" for _, name, _, _, _ in metrics.LABELLED}
+    section = text.split("## Metrics")[1].split("\n## ")[0]
+    named = {
+        name if name.startswith("birchdrum") else f"birchdrum_{name}"
+        for name in re.findall(r"`(\w+)`", section)
+    }
+    assert families - named == set()
+
+
+def test_commands_in_the_documents_are_known():
+    texts = [(ROOT / "README.md").read_text(), *(file.read_text() for file in (ROOT / "docs").glob("*.md"))]
+    calls = {call for text in texts for call in re.findall(r"birchdrum ((?:[a-z]+ ?)+)", text)}
+    known = {"demo", "gateway", "registry", "call", "control", "config", "completion"}
+    first = {
+        call.split()[0] for text in texts for call in re.findall(r"^    (?:bin/)?birchdrum (.*)$", text, re.M)
+    }
+    assert calls and first <= known
+    for words in sorted(first):
+        assert run(*words.split(), "--help").returncode == 0
