A log that can't be written stops nothing; a demo whose terminal closes leaves nothing

Cause, read in the code: structlog's writer raises where the standard library's handler did not, so a closed pipe or a full disk at standard error would have ended the timer that writes the figures, and with it every figure after. Lines that could not be written count as kept back. Shown with /dev/full and a closed file. SIGHUP ends the demo as SIGTERM does: before, closing its terminal left a folder behind, seen by hand.

--- a/birchdrum/demo.py
+++ b/birchdrum/demo.py
@@ -382,7 +382,7 @@
     span: float | None, as_json: bool, folder: Path, gateways: int, hosts: int, customers: int, seed: int
 ) -> int:
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
-    for number in (signal.SIGINT, signal.SIGTERM):
+    for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
         loop.add_signal_handler(number, stop.set)
     starting = loop.create_task(start(folder, gateways, hosts, customers, seed))
     stopping = loop.create_task(stop.wait())
--- a/ops/logs.py
+++ b/ops/logs.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import sys
 import time
 from collections.abc import Callable, MutableMapping
-from typing import Any, TextIO
+from typing import Any, TextIO, cast
 
 import structlog
 
@@ -50,6 +51,27 @@
 bound = Bound()
 
 
+class Sink:
+    """Where lines go. A log that can't be written (a closed pipe, a full disk) must not stop what writes it:
+    such lines count as kept back."""
+
+    def __init__(self, to: TextIO) -> None:
+        self.to = to
+
+    def write(self, text: str) -> None:
+        """One line."""
+        try:
+            self.to.write(text)
+        except (OSError, ValueError):  # ValueError: it is closed
+            bound.kept_back += 1
+            bound.kept_back_all += 1
+
+    def flush(self) -> None:
+        """To the last byte."""
+        with contextlib.suppress(OSError, ValueError):
+            self.to.flush()
+
+
 def _cut(logger: Any, method: str, event: Event) -> Event:
     """Fields as text or numbers, each on one line and of bounded length: what comes from outside may be
     anything."""
@@ -108,7 +130,7 @@
             *render,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
-        logger_factory=structlog.WriteLoggerFactory(to or sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(cast(TextIO, Sink(to or sys.stderr))),
         cache_logger_on_first_use=False,
     )
     root = logging.getLogger()
--- a/tests/test_stats.py
+++ b/tests/test_stats.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import io
 import json
 import logging
@@ -95,3 +96,20 @@
     assert [json.loads(line)["event"] for line in to.getvalue().splitlines()] == ["told"]
     with pytest.raises(ValueError, match="text, json"):
         logs.start("xml")
+
+
+def test_a_log_that_cannot_be_written_stops_nothing_and_its_lines_are_counted(written):
+    written("text")
+    with contextlib.suppress(OSError), open("/dev/full", "w", buffering=1) as full:  # its close fails, too
+        logs.start("text", "info", full)
+        logs.get("test").info("lost")
+    assert logs.bound.kept_back_all == 1
+    to = io.StringIO()
+    logs.start("json", "info", to)
+    logs.get("test").info("told")
+    assert json.loads(to.getvalue())["lines_kept_back"] == 1
+    closed = io.StringIO()
+    closed.close()
+    logs.start("text", "info", closed)
+    logs.get("test").info("lost")
+    assert logs.bound.kept_back_all == 2
