--- a/birchdrum/calling.py
+++ b/birchdrum/calling.py
@@ -14,9 +14,9 @@
 import hiredis
 
 from lab import protocol
+from ops.units import Address
 
 from .configuration import Unusable, read
-from .units import Address
 
 LINE_MOST = 4_096  # bytes of an operator's answer
 SPARE = 0.5  # seconds for the way there and back
--- a/birchdrum/cli.py
+++ b/birchdrum/cli.py
@@ -36,7 +36,7 @@
 
     def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> Any:
         """Seconds as a number."""
-        from .units import Duration
+        from ops.units import Duration
 
         if isinstance(value, float):
             return value
@@ -53,7 +53,7 @@
 
     def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> Any:
         """A pair of host and port."""
-        from .units import Address
+        from ops.units import Address
 
         if isinstance(value, tuple):
             return value
@@ -201,12 +201,14 @@
         click.echo(configuration.as_toml(whole, all_keys), nl=False)
 
 
-@config.command()
-def schema() -> None:
+@config.command("schema")
+def show_schema() -> None:
     """Print the JSON schema of the file, for editors that check TOML by one."""
-    from . import model
+    from ops.checking import schema
+
+    from .model import Config
 
-    click.echo(json.dumps(model.schema(), indent=2))
+    click.echo(json.dumps(schema(Config), indent=2))
 
 
 @config.command()
--- a/birchdrum/configuration.py
+++ b/birchdrum/configuration.py
@@ -17,10 +17,10 @@
 
 import tomlkit
 
+from ops.checking import Mistake, Text, plain
 from saffrongw import config as platform
 
 from . import checking, convert
-from .checking import Mistake, Text
 from .model import Config
 
 PREFIX = "BIRCHDRUM_"
@@ -106,7 +106,7 @@
     if theirs is not None:
         typed = _with_rest(typed, theirs, {key for key, _, _ in given}, file)
     try:
-        whole = convert.to_platform(checking.plain(typed))
+        whole = convert.to_platform(plain(typed))
         platform.parse(json.dumps(whole))
     except (KeyError, ValueError, TypeError, IndexError, AttributeError) as wrong:
         raise Unusable([f"{file}: platform: does not fit to the rest: {wrong!r}"]) from None
@@ -117,13 +117,13 @@
     """With what the platform's file says besides; what a flag or the environment set is not put back."""
     without = checking.check(convert.from_platform(theirs))[0]
     base = typed if without is None else without
-    rest = convert.keep_rest(theirs, convert.to_platform(checking.plain(base)))
+    rest = convert.keep_rest(theirs, convert.to_platform(plain(base)))
     mapped = {"/" + convert.FIELDS[key][0] for key in overridden if key in convert.FIELDS}
     if "values" in rest:
         rest["values"] = {at: text for at, text in rest["values"].items() if at not in mapped}
     if "absent" in rest:
         rest["absent"] = [at for at in rest["absent"] if not any(m.startswith(at) for m in mapped)]
-    again = checking.plain(typed) | ({"platform": rest} if rest else {})
+    again = plain(typed) | ({"platform": rest} if rest else {})
     whole, mistakes = checking.check({k: v for k, v in again.items() if v is not None} | _cleaned(again))
     if whole is None:
         raise Unusable(_told(mistake, file, {}) for mistake in mistakes)
@@ -177,7 +177,7 @@
 
 def as_toml(loaded: Loaded, all_keys: bool = False) -> str:
     """As a file: the keys that were given, or all with their defaults. Read again it is the same."""
-    values = _cleaned(checking.plain(loaded.typed))
+    values = _cleaned(plain(loaded.typed))
     if not all_keys:
         values = _without_defaults(values, loaded)
     order = sorted(values, key=lambda key: isinstance(values[key], dict | list) and key != "zones")
@@ -189,7 +189,7 @@
     typed = loaded.typed
     least = {"listen", "discovery", "classes", "plans"}
     blank = Config(listen=typed.listen, discovery=typed.discovery, classes=typed.classes, plans=typed.plans)
-    usual = _cleaned(checking.plain(blank))
+    usual = _cleaned(plain(blank))
     done: dict[str, Any] = {}
     for key, value in values.items():
         if key in least or key not in usual:
--- a/birchdrum/convert.py
+++ b/birchdrum/convert.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from .units import Duration, Size, megabytes, of_megabytes
+from ops.units import Duration, Size, megabytes, of_megabytes
 
 Json = dict[str, Any]
 
--- a/birchdrum/model.py
+++ b/birchdrum/model.py
@@ -5,12 +5,12 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Any, Literal
+from typing import Annotated, Literal
 
-import msgspec
-from msgspec import Meta, Struct, field
+from msgspec import Meta, field
 
-from .units import KINDS, Address, Duration, Size
+from ops.checking import Strict, usual
+from ops.units import Address, Duration, Size
 
 Name = Annotated[
     str, Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$", description="1 to 64 letters, digits, '.', '_' or '-'")
@@ -25,15 +25,6 @@
 Many = Annotated[int, Meta(ge=1, description="a whole number of 1 or more")]
 
 
-def _usual(value: Duration | Size) -> Any:
-    """A default that msgspec's schema does not try to encode; ``schema`` puts its text there."""
-    return field(default_factory=lambda: value)
-
-
-class Strict(Struct, forbid_unknown_fields=True, kw_only=True):
-    """A table of the file; what it does not know is a mistake."""
-
-
 class Log(Strict):
     """What is written to standard error. Takes effect with SIGHUP."""
 
@@ -46,7 +37,7 @@
 class Limits(Strict):
     """What the process may take up."""
 
-    memory: Size = _usual(Size("64MiB"))
+    memory: Size = usual(Size("64MiB"))
     descriptors: Many = 256
     cores: Positive = 1.0
 
@@ -66,19 +57,19 @@
 class Hosts(Strict):
     """What holds for all hosts."""
 
-    connect_timeout: Duration = _usual(Duration("250ms"))
-    idle_close: Duration = _usual(Duration("15s"))
+    connect_timeout: Duration = usual(Duration("250ms"))
+    idle_close: Duration = usual(Duration("15s"))
     reports: Annotated[
         Literal["inline", "on_probe", "off"], Meta(description='"inline", "on_probe" or "off"')
     ] = "off"
     report_names: list[str] = field(default_factory=list)
     cold_from: Part = 0.25
-    warm_within: Duration = _usual(Duration("10s"))
+    warm_within: Duration = usual(Duration("10s"))
     fall_multiple: Positive = 2.0
-    overload_for: Duration = _usual(Duration("2s"))
-    drain_within: Duration = _usual(Duration("250ms"))
+    overload_for: Duration = usual(Duration("2s"))
+    drain_within: Duration = usual(Duration("250ms"))
     lists: Annotated[Literal["pushed", "on_request"], Meta(description='"pushed" or "on_request"')] = "pushed"
-    ask_within: Duration = _usual(Duration("10s"))
+    ask_within: Duration = usual(Duration("10s"))
 
 
 class Requests(Strict):
@@ -90,7 +81,7 @@
     probes: bool = False
     gossip: bool = True
     retry_after: bool = True
-    retry_after_most: Duration = _usual(Duration("1s"))
+    retry_after_most: Duration = usual(Duration("1s"))
     units_most: Many = 1
 
 
@@ -113,7 +104,7 @@
     deadline: Duration
     aim: Duration
     group: Annotated[Literal["all", "zone", "cell"], Meta(description='"all", "zone" or "cell"')] = "all"
-    repeat_window: Duration = _usual(Duration("0s"))
+    repeat_window: Duration = usual(Duration("0s"))
     worth: Amount = 1.0
     late_worth: Part = 0.0
 
@@ -182,20 +173,3 @@
     prices: Prices = field(default_factory=Prices)
     known: Known | None = None
     platform: Platform | None = None
-
-
-def schema() -> dict[str, Any]:
-    """The JSON schema of the file."""
-
-    def hook(kind: type) -> dict[str, Any]:
-        if kind not in KINDS:
-            raise NotImplementedError(kind)
-        return {"type": "string", "description": kind.EXPECTED}
-
-    done = msgspec.json.schema(Config, schema_hook=hook)
-    for table in Strict.__subclasses__():
-        for key in msgspec.structs.fields(table):
-            usual = None if key.default_factory is msgspec.NODEFAULT else key.default_factory()
-            if isinstance(usual, Duration | Size):
-                done["$defs"][table.__name__]["properties"][key.name]["default"] = str(usual)
-    return done
--- /dev/null
+++ b/ops/checking.py
@@ -0,0 +1,191 @@
+"""Plain values to types with every mistake told at once: msgspec's types, walked key by key.
+
+Imported by the command line and the lab, never by ``run``.
+"""
+
+from __future__ import annotations
+
+import difflib
+import tomllib
+import types
+import typing
+from dataclasses import dataclass
+from typing import Annotated, Any, TypeVar, get_args, get_origin
+
+import msgspec
+
+from . import units
+
+
+class Strict(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """A table of a file; what it does not know is a mistake."""
+
+
+Table = TypeVar("Table", bound=Strict)
+
+
+@dataclass(frozen=True)
+class Mistake:
+    """One wrong value: where, what stands there, what is expected."""
+
+    key: str
+    value: str
+    expected: str
+
+    def __str__(self) -> str:
+        shown = self.value if len(self.value) <= 80 else f"{self.value[:77]}..."
+        return f"{self.key} = {shown}: {self.expected}" if shown else f"{self.key}: {self.expected}"
+
+
+class Text(str):
+    """A value of the environment or a flag: its type is known only by the key it is for."""
+
+
+def decode(value: object, kind: object) -> Any:
+    """msgspec's conversion with the types of ``units``; raises msgspec.ValidationError."""
+    return msgspec.convert(value, kind, dec_hook=_unit)
+
+
+def _unit(kind: type, value: Any) -> Any:
+    if kind in units.KINDS:
+        if not isinstance(value, str):
+            raise ValueError(f"expected {kind.EXPECTED}")
+        return kind(value)
+    raise NotImplementedError(kind)
+
+
+def plain(value: object) -> Any:
+    """A typed configuration as the values that a file has."""
+    return msgspec.to_builtins(value, enc_hook=str)
+
+
+def _walk(value: Any, kind: Any, path: str, mistakes: list[Mistake]) -> Any:
+    """The value with its texts turned to what its type wants; each mistake below it is added."""
+    kind = _without_none(kind)
+    if isinstance(kind, type) and issubclass(kind, Strict):
+        return _table(value, kind, path, mistakes)
+    if get_origin(kind) is list:
+        return _list(value, get_args(kind)[0], path, mistakes)
+    value = _of_text(value, kind)
+    try:
+        decode(value, kind)
+    except (msgspec.ValidationError, ValueError) as wrong:
+        mistakes.append(Mistake(path, _shown(value), expected(kind, str(wrong))))
+    return value
+
+
+def _table(value: Any, kind: type[Strict], path: str, mistakes: list[Mistake]) -> Any:
+    if not isinstance(value, dict):
+        mistakes.append(Mistake(path, _shown(value), "expected a table"))
+        return value
+    at = f"{path}." if path else ""
+    hints = typing.get_type_hints(kind, include_extras=True)
+    done = {}
+    for key, inner in value.items():
+        if key in hints:
+            done[key] = _walk(inner, hints[key], at + key, mistakes)
+            continue
+        near = difflib.get_close_matches(str(key), hints, n=1, cutoff=0.5)
+        known = f"did you mean {at + near[0]}?" if near else f"known here: {', '.join(hints)}"
+        mistakes.append(Mistake(at + str(key), _shown(inner), f"unknown key, {known}"))
+    for missing in msgspec.structs.fields(kind):
+        if missing.required and missing.name not in value:
+            mistakes.append(Mistake(at + missing.name, "", f"is missing, {expected(hints[missing.name])}"))
+    return done
+
+
+def _list(value: Any, kind: Any, path: str, mistakes: list[Mistake]) -> Any:
+    if isinstance(value, Text):
+        value = _parsed(value, [Text(word.strip()) for word in value.split(",") if word.strip()])
+    if not isinstance(value, list):
+        mistakes.append(Mistake(path, _shown(value), "expected a list"))
+        return value
+    return [_walk(inner, kind, f"{path}[{i}]", mistakes) for i, inner in enumerate(value)]
+
+
+def _of_text(value: Any, kind: Any) -> Any:
+    """What a text of the environment means: itself where a text is wanted, else as TOML reads it."""
+    if not isinstance(value, Text):
+        return value
+    try:
+        decode(str(value), kind)
+        return str(value)
+    except (msgspec.ValidationError, ValueError):
+        return _parsed(value, str(value))
+
+
+def _parsed(text: str, otherwise: Any) -> Any:
+    try:
+        return tomllib.loads(f"v = {text}")["v"]
+    except tomllib.TOMLDecodeError:
+        return otherwise
+
+
+def _without_none(kind: Any) -> Any:
+    if get_origin(kind) in (types.UnionType, typing.Union):
+        [kind] = [inner for inner in get_args(kind) if inner is not type(None)]
+    return kind
+
+
+def expected(kind: Any, said: str = "") -> str:
+    """What may stand there, in words; ``said`` is the decoder's word for kinds that have none."""
+    kind = _without_none(kind)
+    if kind in units.KINDS:
+        return said if said.startswith("expected a whole") else f"expected {kind.EXPECTED}"
+    if get_origin(kind) is Annotated:
+        for meta in get_args(kind)[1:]:
+            if isinstance(meta, msgspec.Meta) and meta.description:
+                return f"expected {meta.description}"
+    words = {bool: "true or false", int: "a whole number", float: "a number", str: "a text"}
+    if kind in words:
+        return f"expected {words[kind]}"
+    if get_origin(kind) is list:
+        return "expected a list"
+    return said or "expected a table"
+
+
+def _shown(value: Any) -> str:
+    if isinstance(value, bool):
+        return str(value).lower()
+    return f'"{value}"' if isinstance(value, str) else str(value)
+
+
+def typed(raw: dict[str, Any], kind: type[Table]) -> tuple[Table | None, list[Mistake]]:
+    """The values as this type, or all that is wrong with them."""
+    mistakes: list[Mistake] = []
+    value = _walk(raw, kind, "", mistakes)
+    return (None, mistakes) if mistakes else (decode(value, kind), [])
+
+
+def usual(value: units.Quantity) -> Any:
+    """A default that msgspec's schema does not try to encode; ``schema`` puts its text there."""
+    return msgspec.field(default_factory=lambda: value)
+
+
+def tables(kind: type[Strict]) -> list[type[Strict]]:
+    """The type and all tables below it."""
+    found = [kind]
+    for hint in typing.get_type_hints(kind).values():
+        inner = _without_none(hint)
+        if get_origin(inner) is list:
+            inner = get_args(inner)[0]
+        if isinstance(inner, type) and issubclass(inner, Strict):
+            found += [table for table in tables(inner) if table not in found]
+    return found
+
+
+def schema(kind: type[Strict]) -> dict[str, Any]:
+    """The JSON schema of a file of this type."""
+
+    def hook(unit: type) -> dict[str, Any]:
+        if unit not in units.KINDS:
+            raise NotImplementedError(unit)
+        return {"type": "string", "description": unit.EXPECTED}
+
+    done = msgspec.json.schema(kind, schema_hook=hook)
+    for table in tables(kind):
+        for key in msgspec.structs.fields(table):
+            value = None if key.default_factory is msgspec.NODEFAULT else key.default_factory()
+            if isinstance(value, units.Quantity):
+                done["$defs"][table.__name__]["properties"][key.name]["default"] = str(value)
+    return done
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -12,7 +12,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from birchdrum import checking, configuration, convert
+from birchdrum import configuration, convert
+from ops import checking
 from saffrongw import config as platform
 
 ADDRESSES = {"listen": "127.0.0.1:7301", "discovery": "127.0.0.1:7302", "control": "127.0.0.1:7303"}
