--- a/birchdrum/demo.py
+++ b/birchdrum/demo.py
@@ -284,10 +284,10 @@
                 "begun": seen.begun,
                 "served": seen.served,
                 "turned_away": away,
-                "running": host.running,
-                "waiting": len(host.queue),
+                "running": host.station.running,
+                "waiting": len(host.station.queue),
                 "links": len(host.links),
-                "busy": round(seen.busy_time / (host.machine.slots * span), 3) if span else 0.0,
+                "busy": round(seen.busy_time / (host.station.machine.slots * span), 3) if span else 0.0,
             }
         )
     total = {name: sum(row[name] for row in rows) for name in ("sent", "served", "refused", "failed", "lost")}
