The lab's virtual world: scenarios, real gateways on a virtual clock, a judge, six variants

Seven scenarios in TOML (twins of calm, herd, zone, split and join, hosts that vanish, and a large fleet), each played by the decision module and five baselines on the same arrivals. The judge is told by hosts and clients only; deciders that break one rule on purpose show that it finds each of six, and six kinds of trouble show none for the gateway. The same seed gives the same bytes.

--- a/birchdrum/cli.py
+++ b/birchdrum/cli.py
@@ -458,6 +458,72 @@
     sys.exit(fleet.run(span, as_json, **size))
 
 
+@cli.group()
+def lab() -> None:
+    """Play scenarios of a whole fleet, and compare the gateway with baselines."""
+
+
+@lab.command("list")
+def list_scenarios() -> None:
+    """The scenarios that ship, and the variants that can be compared."""
+    from lab import runs, scenario
+
+    for name, file in scenario.shipped().items():
+        click.echo(f"{name:20} {scenario.load(file).about}")
+    click.echo(f"variants: {', '.join(runs.variants())}")
+
+
+@lab.command("check")
+@click.argument("file", type=click.Path(path_type=Path))
+def check_scenario(file: Path) -> None:
+    """Tell all that is wrong with a scenario, and how large it is."""
+    from lab import scenario
+
+    found = _scenario(str(file))
+    rate = scenario.requests_a_second(found)
+    click.echo(f"{file}: {rate:.0f} first tries a second, hosts in use {scenario.use(found):.0%}")
+
+
+def _scenario(name: str) -> Any:
+    from lab import scenario
+
+    try:
+        return scenario.load(scenario.shipped().get(name, Path(name)))
+    except scenario.Impossible as wrong:
+        raise Ended(WRONG, *wrong.lines) from None
+
+
+@lab.command("run")
+@click.argument("scenario")
+@click.option("--seed", "seeds", multiple=True, type=click.IntRange(0), help="By default 1; repeatable.")
+@click.option("--variant", "variants", multiple=True, help="By default birchdrum; repeatable, all for each.")
+@click.option("--gateways", type=click.IntRange(1, 1000), help="Another number of gateways than the file's.")
+@click.option("--json", "as_json", is_flag=True, help="Whole results, a line each.")
+def run_scenario(
+    scenario: str, seeds: tuple[int, ...], variants: tuple[str, ...], gateways: int | None, as_json: bool
+) -> None:
+    """Play SCENARIO, a file or the name of one that ships, in the virtual world.
+
+    The same seed has the same arrivals for every variant, and the same result to the byte. Exit code 0 where
+    no rule was broken by the gateway, else 1.
+    """
+    from lab import runs
+
+    try:
+        plays = runs.plan(_scenario(scenario), seeds or (1,), variants or ("birchdrum",), gateways)
+    except runs.Unknown as wrong:
+        raise Ended(WRONG, str(wrong)) from None
+    broken = False
+    for play in plays:
+        result, cost = play.run()
+        broken |= play.variant == "birchdrum" and bool(result["broken"])
+        if as_json:
+            click.echo(json.dumps({"variant": play.variant, **result}, sort_keys=True))
+        else:
+            click.echo(runs.line(play, result, cost))
+    sys.exit(NOT_DONE if broken else DONE)
+
+
 @cli.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell: str) -> None:
--- /dev/null
+++ b/lab/scenario.py
@@ -0,0 +1,244 @@
+"""What there is in a fleet and what goes wrong with it: a scenario file, typed and checked."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated, Literal
+
+from msgspec import Meta, field
+
+from ops.checking import Mistake, Strict, typed, usual
+from ops.units import Duration
+
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9-]{1,48}$", description="1 to 48 small letters, digits or '-'")]
+Part = Annotated[float, Meta(ge=0, le=1, description="a number from 0 to 1")]
+Amount = Annotated[float, Meta(ge=0, description="a number of 0 or more")]
+Positive = Annotated[float, Meta(gt=0, description="a number above 0")]
+Count = Annotated[int, Meta(ge=0, description="a whole number of 0 or more")]
+Many = Annotated[int, Meta(ge=1, description="a whole number of 1 or more")]
+
+FOLDER = Path(__file__).parent / "scenarios"
+REQUESTS_MOST = 5_000_000  # of one run: more is a mistake in the rates
+
+
+class Hosts(Strict):
+    """Machines that do the work, spread evenly over the zones."""
+
+    count: Many = 8
+    slots: Many = 8
+    waiting: Count = 32
+    spread: Amount = 0.6
+    error_rate: Part = 0.0
+    cold_from: Part = 0.3
+    warm_within: Duration = usual(Duration("8s"))
+    connections: Many = 256
+    handshake: Duration = usual(Duration("2ms"))
+    idle_close: Duration = usual(Duration("15s"))
+
+
+class Kind(Strict):
+    """A class of requests; ``share`` is its weight among all, ``work`` its mean time at a warm host."""
+
+    name: Name
+    work: Duration
+    aim: Duration
+    deadline: Duration
+    effect: Annotated[
+        Literal["repeatable", "by_key", "once"], Meta(description='"repeatable", "by_key" or "once"')
+    ] = "repeatable"
+    group: Annotated[Literal["all", "zone", "cell"], Meta(description='"all", "zone" or "cell"')] = "all"
+    repeat_window: Duration = usual(Duration("0s"))
+    share: Positive = 1.0
+    worth: Amount = 1.0
+    late_worth: Part = 0.0
+
+
+class Plan(Strict):
+    """Quotas, and the weight of a plan among the customers."""
+
+    name: Name
+    rate: Positive
+    burst: Positive
+    share: Positive = 1.0
+    price: Amount = 1.0
+    beyond_costs: Amount = 0.8
+
+
+class Customers(Strict):
+    """Who asks. Parts of them ask steadily for ``steady_use`` of their quota, nearly all, or in bursts."""
+
+    count: Many = 100
+    set: Many = 3
+    steady_use: Amount = 0.5
+    nearly_full: Part = 0.2
+    nearly_full_use: Amount = 0.95
+    bursting: Part = 0.1
+    burst_use: Amount = 1.0
+    burst_factor: Positive = 5.0
+    burst_lasts: Duration = usual(Duration("2s"))
+    burst_every: Duration = usual(Duration("12s"))
+
+
+class Clients(Strict):
+    """What they do after a no."""
+
+    retry: Part = 0.5
+    tries: Many = 3
+    backoff: Duration = usual(Duration("200ms"))
+    honour: Part = 0.8
+
+
+class Network(Strict):
+    """Delays one way; each is longer by up to ``jitter`` of itself."""
+
+    client: Duration = usual(Duration("600us"))
+    host: Duration = usual(Duration("300us"))
+    across: Duration = usual(Duration("700us"))
+    peer: Duration = usual(Duration("500us"))
+    jitter: Part = 0.3
+    peer_loss: Part = 0.03
+
+
+class Discovery(Strict):
+    """How long a change of the list takes to each gateway: at least, and up to so much more."""
+
+    notice: Duration = usual(Duration("600ms"))
+    more: Duration = usual(Duration("2s"))
+
+
+class Front(Strict):
+    """How long until a dead gateway gets no more requests."""
+
+    notice: Duration = usual(Duration("2s"))
+
+
+TROUBLES = Literal[
+    "kill-gateways",
+    "kill-hosts",
+    "vanish-hosts",
+    "drain-hosts",
+    "slow-hosts",
+    "wrong-hosts",
+    "cut-zone",
+    "cut-peers",
+    "overload",
+]
+
+
+class Trouble(Strict):
+    """Something that goes wrong at a time, for a while, at a part of what it concerns."""
+
+    what: Annotated[TROUBLES, Meta(description="one of " + ", ".join(TROUBLES.__args__))]
+    at: Duration
+    lasts: Duration
+    share: Part = 1.0
+    zone: Name | None = None
+    factor: Amount = 1.0
+
+
+class Scenario(Strict):
+    """One file."""
+
+    name: Name
+    about: str
+    lasts: Duration
+    kinds: list[Kind]
+    plans: list[Plan]
+    gateways: Many = 3
+    zones: list[Name] = field(default_factory=lambda: ["a"])
+    hosts: Hosts = field(default_factory=Hosts)
+    customers: Customers = field(default_factory=Customers)
+    clients: Clients = field(default_factory=Clients)
+    network: Network = field(default_factory=Network)
+    discovery: Discovery = field(default_factory=Discovery)
+    front: Front = field(default_factory=Front)
+    troubles: list[Trouble] = field(default_factory=list)
+
+
+class Impossible(ValueError):
+    """A scenario that can't be; ``lines`` say why, one each."""
+
+    def __init__(self, lines: list[str]) -> None:
+        self.lines = lines
+        super().__init__("; ".join(lines))
+
+
+def load(file: Path) -> Scenario:
+    """A scenario file; raises Impossible with all that is wrong with it."""
+    try:
+        raw = tomllib.loads(file.read_text("utf-8"))
+    except OSError as wrong:
+        raise Impossible([f"{file}: {(wrong.strerror or str(wrong)).lower()}"]) from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as wrong:
+        raise Impossible([f"{file}: is no whole TOML: {wrong}"]) from None
+    scenario, mistakes = typed(raw, Scenario)
+    if scenario is not None:
+        mistakes = list(relations(scenario))
+    if scenario is None or mistakes:
+        raise Impossible([f"{file}: {mistake}" for mistake in mistakes])
+    return scenario
+
+
+def shipped() -> dict[str, Path]:
+    """The scenarios that come with the lab, by name."""
+    return {file.stem: file for file in sorted(FOLDER.glob("*.toml"))}
+
+
+def requests_a_second(scenario: Scenario) -> float:
+    """First tries of all customers together, on average and without troubles."""
+    customers, weight = scenario.customers, sum(plan.share for plan in scenario.plans)
+    quota = sum(plan.rate * plan.share for plan in scenario.plans) / weight
+    rest = max(0.0, 1 - customers.nearly_full - customers.bursting)
+    duty = customers.burst_lasts.base / customers.burst_every.base if customers.burst_every.base else 0.0
+    bursts = customers.burst_use * (1 + duty * (customers.burst_factor - 1))
+    use = rest * customers.steady_use + customers.nearly_full * customers.nearly_full_use
+    return customers.count * quota * (use + customers.bursting * bursts)
+
+
+def use(scenario: Scenario) -> float:
+    """Part of the warm hosts' slots that all first tries would take."""
+    weight = sum(kind.share for kind in scenario.kinds)
+    work = sum(kind.work.base * kind.share for kind in scenario.kinds) / weight / 1e6
+    return requests_a_second(scenario) * work / (scenario.hosts.count * scenario.hosts.slots)
+
+
+def relations(scenario: Scenario) -> Iterator[Mistake]:
+    """What can't be."""
+    customers = scenario.customers
+    if not scenario.lasts.base:
+        yield Mistake("lasts", f'"{scenario.lasts}"', "expected above 0")
+    for key, rows in (("kinds", scenario.kinds), ("plans", scenario.plans), ("zones", scenario.zones)):
+        if not rows:
+            yield Mistake(key, "[]", "expected one at least")
+            return
+    if customers.set > scenario.gateways:
+        wanted = f"expected at most gateways, {scenario.gateways}"
+        yield Mistake("customers.set", str(customers.set), wanted)
+    if customers.nearly_full + customers.bursting > 1:
+        total = f"{customers.nearly_full + customers.bursting:g}"
+        yield Mistake("customers.bursting", total, "with nearly_full over the whole: expected 1 at most")
+    if customers.bursting and customers.burst_every.base <= customers.burst_lasts.base:
+        wanted = f"expected more than burst_lasts, {customers.burst_lasts}"
+        yield Mistake("customers.burst_every", f'"{customers.burst_every}"', wanted)
+    for i, kind in enumerate(scenario.kinds):
+        if not 0 < kind.aim.base <= kind.deadline.base:
+            wanted = f"expected above 0 and at most its deadline, {kind.deadline}"
+            yield Mistake(f"kinds[{i}].aim", f'"{kind.aim}"', wanted)
+    if requests_a_second(scenario) * scenario.lasts.base / 1e6 > REQUESTS_MOST:
+        wanted = f"with these quotas over {REQUESTS_MOST} requests: expected fewer"
+        yield Mistake("customers.count", str(customers.count), wanted)
+    for i, trouble in enumerate(scenario.troubles):
+        at = f"troubles[{i}]"
+        if trouble.at.base >= scenario.lasts.base:
+            yield Mistake(f"{at}.at", f'"{trouble.at}"', f"expected before the end, {scenario.lasts}")
+        if trouble.zone is not None and trouble.zone not in scenario.zones:
+            wanted = f"expected one of zones: {', '.join(scenario.zones)}"
+            yield Mistake(f"{at}.zone", f'"{trouble.zone}"', wanted)
+        if trouble.what == "cut-zone" and (trouble.zone is None or len(scenario.zones) < 2):
+            yield Mistake(f"{at}.zone", "", "is missing, expected one of two zones at least to cut off")
+        if trouble.what in ("slow-hosts", "overload") and not trouble.factor:
+            yield Mistake(f"{at}.factor", "0", "expected above 0")
+        if trouble.what == "wrong-hosts" and trouble.factor > 1:
+            yield Mistake(f"{at}.factor", f"{trouble.factor:g}", "expected an error rate, 1 at most")
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -4,12 +4,20 @@
 
 import heapq
 import itertools
+import json
 import math
+import tomllib
 
 import numpy as np
 import pytest
+import tomlkit
+from command import refused, run
+from msgspec.structs import replace
 
+from lab import judge, runs, scenario, virtual
 from lab.station import FAILED, FULL, LATE, SERVED, Machine, Station, Ticket
+from ops.units import Duration
+from orchidlane import interface as api
 
 
 class Clock:
@@ -100,3 +108,175 @@
     station.offer(Ticket(b"x", b"1", math.inf, lambda how: told.append((how, clock.time))))
     clock.run()
     assert told == [(SERVED, 22.0)]
+
+
+# -- the virtual world --------------------------------------------------------------------------------------
+
+SMALL = scenario.load(scenario.shipped()["calm"])
+SMALL = replace(
+    SMALL,
+    lasts=Duration("8s"),
+    gateways=6,
+    hosts=replace(SMALL.hosts, count=6),
+    customers=replace(SMALL.customers, count=120, set=4),
+)
+
+
+def trouble(what: str, **more) -> scenario.Trouble:
+    """One in the middle of a small run."""
+    return scenario.Trouble(what=what, at=Duration("2s"), lasts=Duration("2s"), **more)
+
+
+TROUBLES = [
+    [trouble("kill-gateways", share=0.5)],
+    [trouble("kill-hosts", share=0.34), trouble("overload", factor=1.5)],
+    [trouble("vanish-hosts", share=0.34)],
+    [trouble("drain-hosts", share=0.5)],
+    [trouble("slow-hosts", share=0.34, factor=5.0), trouble("wrong-hosts", share=0.17, factor=0.7)],
+    [trouble("cut-zone", zone="b"), trouble("cut-peers")],
+]
+
+
+def play(troubles=(), seed=1, variant="birchdrum", **changes) -> dict:
+    """One run's result."""
+    return runs.Play(replace(SMALL, troubles=list(troubles), **changes), seed, variant).run()[0]
+
+
+@pytest.mark.parametrize("troubles", TROUBLES, ids=lambda rows: rows[0].what)
+def test_a_run_is_the_same_to_the_byte_breaks_no_rule_and_conserves_requests(troubles):
+    first = play(troubles)
+    assert json.dumps(first) == json.dumps(play(troubles))
+    assert json.dumps(first) != json.dumps(play(troubles, seed=2))
+    assert first["broken"] == {} and first["counts"].get("unanswered_by_decider", 0) == 0
+    total = first["total"]
+    ends = ("served", "refused", "failed", "gateway_died", "gateway_down", "open_at_the_end")
+    assert sum(total.get(name, 0) for name in ends) == total["sent"]
+    assert sum(first["attempts_by_outcome"].values()) <= first["counts"]["attempts"]
+    assert total["served"] <= first["hosts"]["begun"]
+    assert play(troubles, variant="oracle")["total"]["first_tries"] == total["first_tries"]  # paired by seed
+
+
+def test_the_troubles_do_what_they_say():
+    calm = play()
+    died = play(TROUBLES[0])["total"]
+    assert died["gateway_died"] > 0 and died["gateway_down"] > 0 and "gateway_died" not in calm["total"]
+    killed = play(TROUBLES[1])
+    assert killed["attempts_by_outcome"]["broken"] > 0
+    assert killed["total"]["first_tries"] > 1.05 * calm["total"]["first_tries"]
+    assert play(TROUBLES[2])["attempts_by_outcome"]["timed out"] > 0
+    assert play(TROUBLES[3])["attempts_by_outcome"]["full"] > 0
+    assert play(TROUBLES[4])["attempts_by_outcome"]["error"] > 0
+    cut = play(TROUBLES[5])
+    assert cut["counts"]["messages_heard"] < 0.85 * cut["counts"]["messages"]
+
+
+def test_the_gateway_lies_between_the_baselines_and_the_ceiling():
+    scores = {name: play(variant=name) for name in runs.variants()}
+    beyond = {name: result["units"]["beyond"] / result["units"]["sent"] for name, result in scores.items()}
+    score = {name: result["score"] for name, result in scores.items()}
+    assert score["oracle"] + 0.01 > score["birchdrum"] > score["whole-quota"] > score["even-split"]
+    assert beyond["oracle"] == 0 and beyond["birchdrum"] < 0.02 < beyond["whole-quota"]
+
+
+class Faulty:
+    """A decider that breaks one rule on purpose."""
+
+    def __init__(self, settings, world, how: str) -> None:
+        self.settings, self.world, self.how = settings, world, how
+        self.hosts: list[bytes] = []
+
+    def start(self):
+        return []
+
+    def handle(self, now, event):
+        if isinstance(event, api.ServerListed):
+            self.hosts += [entry.server for entry in event.entries if entry.server not in self.hosts]
+        if not isinstance(event, api.RequestArrived):
+            return []
+        number = event.request
+        sends = [api.Send(number, host, 0) for host in self.hosts[:2]]
+        if self.how == "ran twice":
+            return sends
+        if self.how == "served by no host":
+            self.world.nodes[self.settings.rank].calls.pop(number)
+            self.world.answer(number, "served", 0)
+            return []
+        if self.how == "answered twice":
+            self.world.answer(number, "refused", 0)
+            return [api.Refuse(number, 0)]
+        if self.how == "lost":
+            self.world.nodes[self.settings.rank].calls.pop(number)
+            return []
+        if self.how == "datagram too long":
+            return [api.TellPeer(0, bytes(257)), *sends[:1]]
+        return sends[:1]  # to the first host, drained or not
+
+
+BREACHES = [
+    "ran twice",
+    "served by no host",
+    "answered twice",
+    "lost",
+    "datagram too long",
+    "sent after a drain",
+]
+
+
+@pytest.mark.parametrize("rule", BREACHES)
+def test_the_judge_finds_each_breach_with_its_time_request_and_gateway(rule):
+    once = [replace(kind, effect="once") for kind in SMALL.kinds]
+    drained = [trouble("drain-hosts", share=1.0)] if rule == "sent after a drain" else []
+    small = replace(SMALL, kinds=once, troubles=drained)
+    world = virtual.World(small, 1, lambda settings, seed, now, world: Faulty(settings, world, rule))
+    result = world.run()
+    assert set(result["broken"]) == {rule}
+    breach = result["breaches"][0]
+    assert 0 < breach["at_us"] <= 8_500_000 and breach["gateways"][0] in range(6)
+    assert rule == "datagram too long" or breach["request"] > 0
+
+
+def test_beyond_a_quota_is_counted_by_the_judges_own_store():
+    """One customer, five units at once, a store of two: three are beyond."""
+    plan = scenario.Plan(name="p", rate=0.001, burst=2.0)
+    judged = judge.Judge(replace(SMALL, plans=[plan]))
+    for number in range(5):
+        judged.sent(0, number, judge.Try(7, 0, 0, 1.0, 0, 0), first=True)
+        judged.reached(10, number, 0, "host-000")
+        judged.reached(20, number, 0, "host-001")  # a second attempt takes nothing more
+    assert judged.units["beyond"] == pytest.approx(3.0, abs=1e-6)
+    assert judged.total["more_attempts"] == 5
+
+
+IMPOSSIBLE = [
+    ('name = "Z z"', "1 to 48 small letters"),
+    ("[hosts]\ncount = 0", "hosts.count = 0"),
+    ('[[troubles]]\nwhat = "flood"\nat = "1s"\nlasts = "1s"', "expected one of kill-gateways"),
+    ('[[troubles]]\nwhat = "cut-zone"\nat = "1s"\nlasts = "1s"', "troubles[0].zone"),
+    ('[[troubles]]\nwhat = "kill-hosts"\nat = "70s"\nlasts = "1s"', "expected before the end"),
+    ('[[troubles]]\nwhat = "kill-hosts"\nat = "1s"\nlasts = "1s"\nzone = "attic"', "expected one of zones"),
+    ("[customers]\nset = 50", "expected at most gateways"),
+    ("[customers]\ncount = 90000000", "expected fewer"),
+    ("[customers]\nnearly_full = 0.9\nbursting = 0.9", "1 at most"),
+    ("[network]\nloss = 1", "unknown key"),
+]
+
+
+@pytest.mark.parametrize(("change", "said"), IMPOSSIBLE)
+def test_an_impossible_scenario_is_told_in_one_line(tmp_path, change, said):
+    raw = tomllib.loads(scenario.shipped()["calm"].read_text()) | {"troubles": []}
+    for key, value in tomllib.loads(change).items():
+        raw[key] = raw.get(key, {}) | value if isinstance(value, dict) else value
+    file = tmp_path / "s.toml"
+    file.write_text(tomlkit.dumps(raw))
+    [line] = refused("lab", "run", file)
+    assert line.startswith(f"{file}: ") and said in line
+
+
+def test_scenarios_that_ship_can_be_played_and_the_command_tells_a_line_each():
+    listed = run("lab", "list").stdout
+    assert len(scenario.shipped()) >= 7 and all(name in listed for name in scenario.shipped())
+    for file in scenario.shipped().values():
+        found = scenario.load(file)
+        assert found.name == file.stem and 0.3 < scenario.use(found) < 0.9
+    assert refused("lab", "run", "calm", "--variant", "x")[0].startswith("no variant 'x'")
+    assert "set" in refused("lab", "run", "calm", "--gateways", "2")[0]
