--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -96,3 +96,9 @@
     assert calls and first <= known
     for words in sorted(first):
         assert run(*words.split(), "--help").returncode == 0
+
+
+def test_the_configuration_of_the_readme_can_be_used(tmp_path):
+    file = tmp_path / "gw.toml"
+    file.write_text(re.search(r"```toml\n(.*?)```", (ROOT / "README.md").read_text(), re.S).group(1))
+    assert run("config", "check", file).stdout == f"{file}: can be used\n"
