Experiments: plays in pairs over all cores, kept as files, against other revisions

Need: a change's worth is small against the noise of a seed, and nothing compared two revisions. birchdrum lab compare plays a matrix, a process a play; results are files that are taken up again and can be played anew from themselves alone.

--- a/birchdrum/cli.py
+++ b/birchdrum/cli.py
@@ -524,6 +524,87 @@
     sys.exit(NOT_DONE if broken else DONE)
 
 
+def _seeds(text: str) -> list[int]:
+    """``1-5,9`` as numbers; raises Ended."""
+    found: list[int] = []
+    try:
+        for part in text.split(","):
+            first, _, last = part.partition("-")
+            found += range(int(first), int(last or first) + 1)
+    except ValueError:
+        raise Ended(WRONG, f"--seeds {text}: expected numbers and ranges, such as 1-5,9") from None
+    return found
+
+
+@lab.command("compare")
+@click.argument("scenarios", nargs=-1, required=True)
+@click.option("--seeds", default="1-5", show_default=True, help="Such as 1-5,9.")
+@click.option("--variant", "variants", multiple=True, help="By default birchdrum; the first is the base.")
+@click.option("--against", multiple=True, metavar="REV", help="Another revision's decisions; repeatable.")
+@click.option("--gateways", "sizes", multiple=True, type=click.IntRange(1, 1000), help="Sizes; repeatable.")
+@click.option("--out", type=click.Path(path_type=Path), default=Path("found/lab"), show_default=True)
+@click.option("--workers", type=click.IntRange(1), help="Plays side by side; by default one a core.")
+def compare(
+    scenarios: tuple[str, ...],
+    seeds: str,
+    variants: tuple[str, ...],
+    against: tuple[str, ...],
+    sizes: tuple[int, ...],
+    out: Path,
+    workers: int | None,
+) -> None:
+    """Play a matrix over all cores and tell differences to the first variant, in pairs by seed.
+
+    Results are kept in --out, one file a play; called again, only what is missing is played. Exit code 0
+    where every play was made, else 1.
+    """
+    import asyncio
+    import os
+
+    from rich.console import Console
+    from rich.progress import Progress
+
+    from lab import experiment, runs
+
+    try:
+        found = [
+            runs.sized(scenario, size) for scenario in map(_scenario, scenarios) for size in sizes or (None,)
+        ]
+        plays = experiment.matrix(found, _seeds(seeds), variants or ("birchdrum",), against)
+        console = Console(stderr=True)
+        with Progress(console=console, transient=True, disable=not console.is_terminal) as view:
+            bar = view.add_task("playing", total=len(plays))
+
+            def told(done: int, total: int, what: str) -> None:
+                view.update(bar, completed=done, description=what)
+
+            made = asyncio.run(experiment.run(plays, out, workers or os.cpu_count() or 1, told))
+    except runs.Unknown as wrong:
+        raise Ended(WRONG, str(wrong)) from None
+    except OSError as wrong:
+        raise Ended(NOT_DONE, f"{out}: {(wrong.strerror or str(wrong)).lower()}") from None
+    for row in experiment.differences(made):
+        click.echo(str(row))
+    if made.kept:
+        click.echo(f"{made.kept} of {len(plays)} plays were kept in {out}")
+    if made.failures:
+        raise Ended(NOT_DONE, *made.failures)
+
+
+@lab.command("again")
+@click.argument("file", type=click.Path(path_type=Path))
+def play_again(file: Path) -> None:
+    """Play a kept result anew from its file alone; exit code 0 where it is the same, else 1."""
+    from lab import experiment, runs
+
+    try:
+        same, text = experiment.again(file)
+    except runs.Unknown as wrong:
+        raise Ended(WRONG, str(wrong)) from None
+    click.echo(text)
+    sys.exit(DONE if same else NOT_DONE)
+
+
 @cli.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell: str) -> None:
