--- a/birchdrum/configuration.py
+++ b/birchdrum/configuration.py
@@ -123,24 +123,12 @@
         rest["values"] = {at: text for at, text in rest["values"].items() if at not in mapped}
     if "absent" in rest:
         rest["absent"] = [at for at in rest["absent"] if not any(m.startswith(at) for m in mapped)]
-    again = plain(typed) | ({"platform": rest} if rest else {})
-    whole, mistakes = checking.check({k: v for k, v in again.items() if v is not None} | _cleaned(again))
+    whole, mistakes = checking.check(plain(typed) | ({"platform": rest} if rest else {}))
     if whole is None:
         raise Unusable(_told(mistake, file, {}) for mistake in mistakes)
     return whole
 
 
-def _cleaned(values: dict[str, Any]) -> dict[str, Any]:
-    """Tables without the keys that are not set: a file can't say null."""
-    return {k: _clean(v) for k, v in values.items() if v is not None}
-
-
-def _clean(value: Any) -> Any:
-    if isinstance(value, dict):
-        return {k: _clean(v) for k, v in value.items() if v is not None}
-    return [_clean(v) for v in value] if isinstance(value, list) else value
-
-
 def _paths(values: dict[str, Any], at: str = "") -> Iterable[str]:
     for key, value in values.items():
         if isinstance(value, dict):
@@ -177,7 +165,7 @@
 
 def as_toml(loaded: Loaded, all_keys: bool = False) -> str:
     """As a file: the keys that were given, or all with their defaults. Read again it is the same."""
-    values = _cleaned(plain(loaded.typed))
+    values = plain(loaded.typed)
     if not all_keys:
         values = _without_defaults(values, loaded)
     order = sorted(values, key=lambda key: isinstance(values[key], dict | list) and key != "zones")
@@ -189,7 +177,7 @@
     typed = loaded.typed
     least = {"listen", "discovery", "classes", "plans"}
     blank = Config(listen=typed.listen, discovery=typed.discovery, classes=typed.classes, plans=typed.plans)
-    usual = _cleaned(plain(blank))
+    usual = plain(blank)
     done: dict[str, Any] = {}
     for key, value in values.items():
         if key in least or key not in usual:
--- a/lab/experiment.py
+++ b/lab/experiment.py
@@ -45,7 +45,7 @@
     def described(self) -> dict[str, Any]:
         """All that a worker needs."""
         name = "birchdrum" if self.variant.startswith(AGAINST) else self.variant
-        return {"scenario": scenario_values(self.scenario), "seed": self.seed, "variant": name}
+        return {"scenario": plain(self.scenario), "seed": self.seed, "variant": name}
 
     def digest(self) -> str:
         """Of what is played, so that a file of another scenario under the same name is not taken for it."""
@@ -58,18 +58,6 @@
         return folder / f"{self.scenario.name}.{self.scenario.gateways}.{self.seed}.{variant}.json"
 
 
-def scenario_values(scenario: Scenario) -> dict[str, Any]:
-    """As a file has it: without what is not set."""
-
-    def clean(value: Any) -> Any:
-        if isinstance(value, dict):
-            return {key: clean(inner) for key, inner in value.items() if inner is not None}
-        return [clean(inner) for inner in value] if isinstance(value, list) else value
-
-    values: dict[str, Any] = clean(plain(scenario))
-    return values
-
-
 @dataclass(slots=True)
 class Outcome:
     """What became of a matrix: results by (scenario, gateways, seed, variant), and what went wrong."""
--- a/ops/checking.py
+++ b/ops/checking.py
@@ -55,8 +55,14 @@
 
 
 def plain(value: object) -> Any:
-    """A typed configuration as the values that a file has."""
-    return msgspec.to_builtins(value, enc_hook=str)
+    """A typed table as the values that a file has: what is not set is not there, as a file can't say null."""
+    return _set(msgspec.to_builtins(value, enc_hook=str))
+
+
+def _set(value: Any) -> Any:
+    if isinstance(value, dict):
+        return {key: _set(inner) for key, inner in value.items() if inner is not None}
+    return [_set(inner) for inner in value] if isinstance(value, list) else value
 
 
 def _walk(value: Any, kind: Any, path: str, mistakes: list[Mistake]) -> Any:
--- a/ops/units.py
+++ b/ops/units.py
@@ -16,6 +16,7 @@
 
     UNITS: ClassVar[dict[str, int]] = {}  # the base unit first, each in base units
     EXPECTED: ClassVar[str] = ""
+    ZERO: ClassVar[str] = ""  # the unit in which nothing is told
     __slots__ = ("base",)
 
     def __init__(self, text: str) -> None:
@@ -36,10 +37,7 @@
     def __str__(self) -> str:
         """In the largest unit in which it is a whole number."""
         unit = max((u for u, n in self.UNITS.items() if self.base % n == 0), key=self.UNITS.__getitem__)
-        return f"{self.base // self.UNITS[unit]}{unit}" if self.base else f"0{self._usual()}"
-
-    def _usual(self) -> str:
-        return list(self.UNITS)[-1]
+        return f"{self.base // self.UNITS[unit]}{unit}" if self.base else f"0{self.ZERO}"
 
     def __repr__(self) -> str:
         return f"{type(self).__name__}({str(self)!r})"
@@ -62,9 +60,7 @@
         "h": 3_600_000_000,
     }
     EXPECTED = 'a duration in us, ms, s, min or h, such as "250ms" or "1.5s"'
-
-    def _usual(self) -> str:
-        return "s"
+    ZERO = "s"
 
 
 class Size(Quantity):
@@ -72,6 +68,7 @@
 
     UNITS: ClassVar[dict[str, int]] = {"B": 1, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
     EXPECTED = 'a size in B, KiB, MiB or GiB, such as "64MiB"'
+    ZERO = "MiB"
 
 
 class Address:
