--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -67,13 +67,15 @@
 
 
 class Customers(Strict):
-    """Who asks. Parts of them ask steadily for ``steady_use`` of their quota, nearly all, or in bursts."""
+    """Who asks. Parts ask steadily for ``steady_use`` of their quota, nearly all, more, or in bursts."""
 
     count: Many = 100
     set: Many = 3
     steady_use: Amount = 0.5
     nearly_full: Part = 0.2
     nearly_full_use: Amount = 0.95
+    over: Part = 0.0
+    over_use: Amount = 3.0
     bursting: Part = 0.1
     burst_use: Amount = 1.0
     burst_factor: Positive = 5.0
@@ -190,10 +192,11 @@
     """First tries of all customers together, on average and without troubles."""
     customers, weight = scenario.customers, sum(plan.share for plan in scenario.plans)
     quota = sum(plan.rate * plan.share for plan in scenario.plans) / weight
-    rest = max(0.0, 1 - customers.nearly_full - customers.bursting)
+    rest = max(0.0, 1 - customers.nearly_full - customers.bursting - customers.over)
     duty = customers.burst_lasts.base / customers.burst_every.base if customers.burst_every.base else 0.0
     bursts = customers.burst_use * (1 + duty * (customers.burst_factor - 1))
     use = rest * customers.steady_use + customers.nearly_full * customers.nearly_full_use
+    use += customers.over * customers.over_use
     return customers.count * quota * (use + customers.bursting * bursts)
 
 
@@ -216,9 +219,10 @@
     if customers.set > scenario.gateways:
         wanted = f"expected at most gateways, {scenario.gateways}"
         yield Mistake("customers.set", str(customers.set), wanted)
-    if customers.nearly_full + customers.bursting > 1:
-        total = f"{customers.nearly_full + customers.bursting:g}"
-        yield Mistake("customers.bursting", total, "with nearly_full over the whole: expected 1 at most")
+    parts = customers.nearly_full + customers.bursting + customers.over
+    if parts > 1:
+        wanted = "with nearly_full and over: expected 1 at most"
+        yield Mistake("customers.bursting", f"{parts:g}", wanted)
     if customers.bursting and customers.burst_every.base <= customers.burst_lasts.base:
         wanted = f"expected more than burst_lasts, {customers.burst_lasts}"
         yield Mistake("customers.burst_every", f'"{customers.burst_every}"', wanted)
--- a/lab/virtual.py
+++ b/lab/virtual.py
@@ -577,6 +577,8 @@
             use = made.burst_use if bursts else made.steady_use
             if made.bursting <= kind < made.bursting + made.nearly_full:
                 use = made.nearly_full_use
+            elif 0 <= kind - made.bursting - made.nearly_full < made.over:
+                use = made.over_use
             first = int(draw.integers(scenario.gateways))
             offset = int(draw.integers(max(1, made.burst_every.base)))
             rate = scenario.plans[plan].rate * use
