--- a/birchdrum/cli.py
+++ b/birchdrum/cli.py
@@ -217,6 +217,8 @@
 @click.option("-o", "--output", type=click.Path(path_type=Path), help="By default standard output.")
 def convert(file: Path, to: str | None, output: Path | None) -> None:
     """Turn the platform's JSON to TOML or back, without loss; environment and flags are left aside."""
+    from ops.files import write_whole
+
     from . import configuration
 
     try:
@@ -230,29 +232,11 @@
         click.echo(text, nl=False)
         return
     try:
-        whole_file(output, text)
+        write_whole(output, text)
     except OSError as wrong:
         raise Ended(NOT_DONE, f"{output}: {(wrong.strerror or str(wrong)).lower()}") from None
 
 
-def whole_file(path: Path, text: str) -> None:
-    """Write a file that is never seen half; raises OSError."""
-    import os
-    import tempfile
-
-    handle, name = tempfile.mkstemp(dir=path.parent, prefix=f".{path.name}.")
-    try:
-        with os.fdopen(handle, "w", encoding="utf-8") as file:
-            file.write(text)
-            file.flush()
-            os.fsync(file.fileno())
-        Path(name).chmod(0o644)
-        Path(name).replace(path)
-    except OSError:
-        Path(name).unlink(missing_ok=True)
-        raise
-
-
 # -- the list service -------------------------------------------------------------------------------------
 
 
--- a/birchdrum/model.py
+++ b/birchdrum/model.py
@@ -9,7 +9,7 @@
 
 from msgspec import Meta, field
 
-from ops.checking import Strict, usual
+from ops.checking import Amount, Count, Many, Part, Positive, Strict, usual
 from ops.units import Address, Duration, Size
 
 Name = Annotated[
@@ -18,11 +18,6 @@
 Seed = Annotated[
     str, Meta(pattern=r"^[0-9A-Fa-f]{1,16}$", description='up to 16 hex digits, such as "8c1f30d2"')
 ]
-Part = Annotated[float, Meta(ge=0, le=1, description="a number from 0 to 1")]
-Amount = Annotated[float, Meta(ge=0, description="a number of 0 or more")]
-Positive = Annotated[float, Meta(gt=0, description="a number above 0")]
-Count = Annotated[int, Meta(ge=0, description="a whole number of 0 or more")]
-Many = Annotated[int, Meta(ge=1, description="a whole number of 1 or more")]
 
 
 class Log(Strict):
--- a/lab/baselines.py
+++ b/lab/baselines.py
@@ -68,16 +68,24 @@
             )
         return store
 
-    def _arrived(self, now: int, event: api.RequestArrived) -> list[api.Action]:
+    def _room(self, now: int, event: api.RequestArrived) -> tuple[float, float]:
+        """Units that its customer may spend now, and the rate at which they come back."""
         store = self.store(now, event)
-        held = store.look(now)
+        return store.look(now), store.rate
+
+    def _spend(self, now: int, event: api.RequestArrived) -> None:
+        """They are spent."""
+        self.store(now, event).held -= event.units
+
+    def _arrived(self, now: int, event: api.RequestArrived) -> list[api.Action]:
+        held, rate = self._room(now, event)
         if held < event.units:
-            wait = int(1e6 * (event.units - held) / store.rate)
+            wait = int(1e6 * (event.units - held) / rate)
             return [api.Refuse(event.request, min(RETRY_AFTER_MOST, wait), api.Cause.QUOTA)]
         server = self._choose(())
         if server is None:
             return [api.Refuse(event.request, 0, api.Cause.SLOW)]
-        store.held -= event.units
+        self._spend(now, event)
         self.tried[event.request] = (event, [server])
         return [self._send(event.request, server)]
 
@@ -120,19 +128,13 @@
 class Oracle(Simple):
     """Sees the one true store of each customer, and how busy and how well each host really is."""
 
-    def _arrived(self, now: int, event: api.RequestArrived) -> list[api.Action]:
-        judge, time = self.world.judge, self.world.kernel.now
-        store = judge.stores[event.customer]
-        held = store.look(time)
-        if held < event.units:
-            wait = int(1e6 * (event.units - held) / store.rate)
-            return [api.Refuse(event.request, min(RETRY_AFTER_MOST, wait), api.Cause.QUOTA)]
-        server = self._choose(())
-        if server is None:
-            return [api.Refuse(event.request, 0, api.Cause.SLOW)]
-        judge.take(time, event.request)  # at once: no other gateway spends what is on its way
-        self.tried[event.request] = (event, [server])
-        return [self._send(event.request, server)]
+    def _room(self, now: int, event: api.RequestArrived) -> tuple[float, float]:
+        store = self.world.judge.stores[event.customer]
+        return store.look(self.world.kernel.now), store.rate
+
+    def _spend(self, now: int, event: api.RequestArrived) -> None:
+        """At the judge, at once: no other gateway spends what is on its way."""
+        self.world.judge.take(self.world.kernel.now, event.request)
 
     def _depth(self, server: api.Server) -> float:
         host = self.world.by_name[server]
--- a/lab/experiment.py
+++ b/lab/experiment.py
@@ -21,6 +21,7 @@
 from scipy import stats
 
 from ops.checking import plain
+from ops.files import write_whole
 
 from .baselines import VARIANTS
 from .runs import Unknown
@@ -125,15 +126,6 @@
         return None
 
 
-def keep(folder: Path, file: Path, whole: dict[str, Any]) -> None:
-    """Write a result so that it is never seen half; raises OSError."""
-    folder.mkdir(parents=True, exist_ok=True)
-    handle, name = tempfile.mkstemp(dir=folder, prefix=".")
-    with os.fdopen(handle, "w") as to:
-        json.dump(whole, to, indent=1)
-    Path(name).replace(file)
-
-
 async def run(
     plays: Sequence[Wanted], folder: Path, workers: int, told: Callable[[int, int, str], None]
 ) -> Outcome:
@@ -158,10 +150,11 @@
             else:
                 whole = {"format": FORMAT, "digest": wanted.digest(), "revision": at, "versions": versions}
                 whole |= wanted.described() | {"of": wanted.variant} | raw
-                keep(folder, wanted.file(folder), whole)
+                write_whole(wanted.file(folder), json.dumps(whole, indent=1))
                 done.results[key] = whole
         told(len(done.results) + len(done.failures), len(plays), f"{wanted.scenario.name} {wanted.variant}")
 
+    folder.mkdir(parents=True, exist_ok=True)
     with checked_out(against) as paths:
         await asyncio.gather(*(one(wanted, paths) for wanted in plays))
     # In the order of the matrix, whichever came first: the first variant is what others are compared with.
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -9,15 +9,10 @@
 
 from msgspec import Meta, field
 
-from ops.checking import Mistake, Strict, typed, usual
+from ops.checking import Amount, Count, Many, Mistake, Part, Positive, Strict, typed, usual
 from ops.units import Duration
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9-]{1,48}$", description="1 to 48 small letters, digits or '-'")]
-Part = Annotated[float, Meta(ge=0, le=1, description="a number from 0 to 1")]
-Amount = Annotated[float, Meta(ge=0, description="a number of 0 or more")]
-Positive = Annotated[float, Meta(gt=0, description="a number above 0")]
-Count = Annotated[int, Meta(ge=0, description="a whole number of 0 or more")]
-Many = Annotated[int, Meta(ge=1, description="a whole number of 1 or more")]
 
 FOLDER = Path(__file__).parent / "scenarios"
 REQUESTS_MOST = 5_000_000  # of one run: more is a mistake in the rates
--- a/ops/checking.py
+++ b/ops/checking.py
@@ -16,6 +16,12 @@
 
 from . import units
 
+Part = Annotated[float, msgspec.Meta(ge=0, le=1, description="a number from 0 to 1")]
+Amount = Annotated[float, msgspec.Meta(ge=0, description="a number of 0 or more")]
+Positive = Annotated[float, msgspec.Meta(gt=0, description="a number above 0")]
+Count = Annotated[int, msgspec.Meta(ge=0, description="a whole number of 0 or more")]
+Many = Annotated[int, msgspec.Meta(ge=1, description="a whole number of 1 or more")]
+
 
 class Strict(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """A table of a file; what it does not know is a mistake."""
