What is not permitted is told in one line: shown without root's rights

A file of mode 0 and a port below 1024, by a process that lost the three capabilities that would let root do both. Found by it: click's own check of a path told an unreadable file as a wrong argument, in words of its own.

--- a/birchdrum/cli.py
+++ b/birchdrum/cli.py
@@ -83,7 +83,7 @@
     """The file of a configuration and what overrides it."""
     for option in reversed(
         (
-            click.argument("file", required=False, type=click.Path(path_type=Path)),
+            click.argument("file", required=False, type=click.Path(path_type=Path, readable=False)),
             click.option("--listen", metavar="HOST:PORT", help="Where clients connect."),
             click.option("--control", metavar="HOST:PORT", help="Where operators call."),
             click.option("--metrics", metavar="HOST:PORT", help="Where monitoring reads GET /metrics."),
@@ -212,9 +212,11 @@
 
 
 @config.command()
-@click.argument("file", type=click.Path(path_type=Path))
+@click.argument("file", type=click.Path(path_type=Path, readable=False))
 @click.option("--to", type=click.Choice(["toml", "json"]), help="By default the other one of the two.")
-@click.option("-o", "--output", type=click.Path(path_type=Path), help="By default standard output.")
+@click.option(
+    "-o", "--output", type=click.Path(path_type=Path, readable=False), help="By default standard output."
+)
 def convert(file: Path, to: str | None, output: Path | None) -> None:
     """Turn the platform's JSON to TOML or back, without loss; environment and flags are left aside."""
     from ops.files import write_whole
@@ -332,7 +334,7 @@
             ),
             click.option(
                 "--fleet",
-                type=click.Path(path_type=Path),
+                type=click.Path(path_type=Path, readable=False),
                 help='A TOML file that names gateways: [gateways], then gw-0 = "127.0.0.1:7000".',
             ),
             click.option("--only", multiple=True, help="Of the fleet, the gateway of this name; repeatable."),
@@ -458,7 +460,7 @@
 
 
 @lab.command("check")
-@click.argument("file", type=click.Path(path_type=Path))
+@click.argument("file", type=click.Path(path_type=Path, readable=False))
 def check_scenario(file: Path) -> None:
     """Tell all that is wrong with a scenario, and how large it is."""
     from lab import scenario
@@ -526,7 +528,9 @@
 @click.option("--variant", "variants", multiple=True, help="By default birchdrum; the first is the base.")
 @click.option("--against", multiple=True, metavar="REV", help="Another revision's decisions; repeatable.")
 @click.option("--gateways", "sizes", multiple=True, type=click.IntRange(1, 1000), help="Sizes; repeatable.")
-@click.option("--out", type=click.Path(path_type=Path), default=Path("found/lab"), show_default=True)
+@click.option(
+    "--out", type=click.Path(path_type=Path, readable=False), default=Path("found/lab"), show_default=True
+)
 @click.option("--workers", type=click.IntRange(1), help="Plays side by side; by default one a core.")
 def compare(
     scenarios: tuple[str, ...],
@@ -576,7 +580,7 @@
 
 
 @lab.command("again")
-@click.argument("file", type=click.Path(path_type=Path))
+@click.argument("file", type=click.Path(path_type=Path, readable=False))
 def play_again(file: Path) -> None:
     """Play a kept result anew from its file alone; exit code 0 where it is the same, else 1."""
     from lab import experiment, runs
--- a/tests/command.py
+++ b/tests/command.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ctypes
 import os
 import re
 import subprocess
@@ -33,7 +34,13 @@
     return kept | more
 
 
-def run(*words: object, within: float = 60, **more: str) -> subprocess.CompletedProcess[str]:
+def powerless() -> None:
+    """Root without the right to read everything and to listen below 1024: for others it changes nothing."""
+    for right in (1, 2, 10):  # CAP_DAC_OVERRIDE, CAP_DAC_READ_SEARCH, CAP_NET_BIND_SERVICE
+        ctypes.CDLL(None).prctl(24, right)  # PR_CAPBSET_DROP
+
+
+def run(*words: object, within: float = 60, before=None, **more: str) -> subprocess.CompletedProcess[str]:
     """One call to its end."""
     return subprocess.run(
         [COMMAND, *map(str, words)],
@@ -43,12 +50,13 @@
         text=True,
         timeout=within,
         check=False,
+        preexec_fn=before,
     )
 
 
-def refused(*words: object, code: int = 2, **more: str) -> list[str]:
+def refused(*words: object, code: int = 2, before=None, **more: str) -> list[str]:
     """A call that must fail; what it said, a line each, without a traceback."""
-    ended = run(*words, **more)
+    ended = run(*words, before=before, **more)
     assert ended.returncode == code, (ended.returncode, ended.stderr)
     lines = ended.stderr.splitlines()
     assert lines and all(line.startswith("birchdrum: ") for line in lines), ended.stderr
--- a/tests/test_birchdrum.py
+++ b/tests/test_birchdrum.py
@@ -10,7 +10,7 @@
 import subprocess
 
 import pytest
-from command import COMMAND, FILE, alive, environment, run
+from command import COMMAND, FILE, alive, environment, powerless, refused, run
 from conftest import FakeHost, asyncio_test, free_address, until
 from listing import PATH, call
 from listing import host as listed_host
@@ -117,11 +117,21 @@
         ]
 
 
-def starts_nothing(tmp_path, text: str, *flags: str) -> str:
+def test_what_is_not_permitted_is_told_in_one_line(tmp_path):
+    file = tmp_path / "gw.toml"
+    file.write_text(FILE.format(listen="127.0.0.1:81", discovery=free_address(), control=free_address()))
+    said = starts_nothing(tmp_path, file.read_text(), before=powerless)
+    assert said == "cannot listen for clients at 127.0.0.1:81: no permission: ports below 1024 need it"
+    file.chmod(0)
+    for words in (("gateway",), ("config", "check")):
+        assert refused(*words, file, before=powerless) == [f"{file}: permission denied"]
+
+
+def starts_nothing(tmp_path, text: str, *flags: str, before=None) -> str:
     """A gateway that must end at once with 1; its one line."""
     file = tmp_path / "gw.toml"
     file.write_text(text)
-    ended = run("gateway", file, *flags)
+    ended = run("gateway", file, *flags, before=before)
     assert ended.returncode == 1 and "Traceback" not in ended.stderr
     assert alive(str(file)) == []
     [line] = [line for line in ended.stderr.splitlines() if line.startswith("birchdrum: ")]
