--- a/birchdrum/cli.py
+++ b/birchdrum/cli.py
@@ -18,6 +18,7 @@
 from click.shell_completion import get_completion_class
 
 DONE, NOT_DONE, WRONG, REFUSED, FAILED, INTERRUPTED = 0, 1, 2, 3, 4, 130
+A_FILE = click.Path(path_type=Path, readable=False)  # what is wrong with one is told by who reads it
 CONTEXT = {"help_option_names": ["-h", "--help"], "max_content_width": 100}
 
 
@@ -83,7 +84,7 @@
     """The file of a configuration and what overrides it."""
     for option in reversed(
         (
-            click.argument("file", required=False, type=click.Path(path_type=Path, readable=False)),
+            click.argument("file", required=False, type=A_FILE),
             click.option("--listen", metavar="HOST:PORT", help="Where clients connect."),
             click.option("--control", metavar="HOST:PORT", help="Where operators call."),
             click.option("--metrics", metavar="HOST:PORT", help="Where monitoring reads GET /metrics."),
@@ -212,11 +213,9 @@
 
 
 @config.command()
-@click.argument("file", type=click.Path(path_type=Path, readable=False))
+@click.argument("file", type=A_FILE)
 @click.option("--to", type=click.Choice(["toml", "json"]), help="By default the other one of the two.")
-@click.option(
-    "-o", "--output", type=click.Path(path_type=Path, readable=False), help="By default standard output."
-)
+@click.option("-o", "--output", type=A_FILE, help="By default standard output.")
 def convert(file: Path, to: str | None, output: Path | None) -> None:
     """Turn the platform's JSON to TOML or back, without loss; environment and flags are left aside."""
     from ops.files import write_whole
@@ -334,7 +333,7 @@
             ),
             click.option(
                 "--fleet",
-                type=click.Path(path_type=Path, readable=False),
+                type=A_FILE,
                 help='A TOML file that names gateways: [gateways], then gw-0 = "127.0.0.1:7000".',
             ),
             click.option("--only", multiple=True, help="Of the fleet, the gateway of this name; repeatable."),
@@ -460,7 +459,7 @@
 
 
 @lab.command("check")
-@click.argument("file", type=click.Path(path_type=Path, readable=False))
+@click.argument("file", type=A_FILE)
 def check_scenario(file: Path) -> None:
     """Tell all that is wrong with a scenario, and how large it is."""
     from lab import scenario
@@ -528,9 +527,7 @@
 @click.option("--variant", "variants", multiple=True, help="By default birchdrum; the first is the base.")
 @click.option("--against", multiple=True, metavar="REV", help="Another revision's decisions; repeatable.")
 @click.option("--gateways", "sizes", multiple=True, type=click.IntRange(1, 1000), help="Sizes; repeatable.")
-@click.option(
-    "--out", type=click.Path(path_type=Path, readable=False), default=Path("found/lab"), show_default=True
-)
+@click.option("--out", type=A_FILE, default=Path("found/lab"), show_default=True)
 @click.option("--workers", type=click.IntRange(1), help="Plays side by side; by default one a core.")
 def compare(
     scenarios: tuple[str, ...],
@@ -580,7 +577,7 @@
 
 
 @lab.command("again")
-@click.argument("file", type=click.Path(path_type=Path, readable=False))
+@click.argument("file", type=A_FILE)
 def play_again(file: Path) -> None:
     """Play a kept result anew from its file alone; exit code 0 where it is the same, else 1."""
     from lab import experiment, runs
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -7,6 +7,7 @@
 import json
 import math
 import subprocess
+import sys
 import tomllib
 from pathlib import Path
 
@@ -361,3 +362,11 @@
         covered += low <= math.log(2) <= high
     assert 170 <= covered <= 200
     assert experiment.interval([0.1, 0.3]) == (0.1, 0.3) and experiment.interval([]) == (0.0, 0.0)
+
+
+def test_programs_that_choose_ports_at_once_never_choose_the_same():
+    code = "from lab import ports; print(*[p for _ in range(60) for p in ports.free(3)])"
+    words = [sys.executable, "-c", code]
+    choosers = [subprocess.Popen(words, cwd=experiment.ROOT, stdout=subprocess.PIPE) for _ in range(6)]
+    chosen = [int(word) for chooser in choosers for word in chooser.communicate(timeout=60)[0].split()]
+    assert len(chosen) == len(set(chosen)) == 6 * 180
