Command line: a group of commands a file

Exit codes, the types of words and how a call ends are in command.py, each group in a file of its own; cli.py puts them together. No command, option or text changes: tests of the command as they were, green.

--- /dev/null
+++ b/birchdrum/commands_lab.py
@@ -0,0 +1,159 @@
+"""``birchdrum lab``: scenarios on a virtual clock, experiments, and real processes under faults."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+
+from .command import A_FILE, DONE, NOT_DONE, WRONG, Ended
+
+
+@click.group()
+def lab() -> None:
+    """Play scenarios of a whole fleet, and compare the gateway with baselines."""
+
+
+@lab.command("list")
+def list_scenarios() -> None:
+    """The scenarios that ship, and the variants that can be compared."""
+    from lab import runs, scenario
+
+    for name, file in scenario.shipped().items():
+        click.echo(f"{name:20} {scenario.load(file).about}")
+    click.echo(f"variants: {', '.join(runs.variants())}")
+
+
+@lab.command("check")
+@click.argument("file", type=A_FILE)
+def check_scenario(file: Path) -> None:
+    """Tell all that is wrong with a scenario, and how large it is."""
+    from lab import scenario
+
+    found = _scenario(str(file))
+    rate = scenario.requests_a_second(found)
+    click.echo(f"{file}: {rate:.0f} first tries a second, hosts in use {scenario.use(found):.0%}")
+
+
+def _scenario(name: str) -> Any:
+    from lab import scenario
+
+    try:
+        return scenario.load(scenario.shipped().get(name, Path(name)))
+    except scenario.Impossible as wrong:
+        raise Ended(WRONG, *wrong.lines) from None
+
+
+@lab.command("run")
+@click.argument("scenario")
+@click.option("--seed", "seeds", multiple=True, type=click.IntRange(0), help="By default 1; repeatable.")
+@click.option("--variant", "variants", multiple=True, help="By default birchdrum; repeatable, all for each.")
+@click.option("--gateways", type=click.IntRange(1, 1000), help="Another number of gateways than the file's.")
+@click.option("--json", "as_json", is_flag=True, help="Whole results, a line each.")
+def run_scenario(
+    scenario: str, seeds: tuple[int, ...], variants: tuple[str, ...], gateways: int | None, as_json: bool
+) -> None:
+    """Play SCENARIO, a file or the name of one that ships, in the virtual world.
+
+    The same seed has the same arrivals for every variant, and the same result to the byte. Exit code 0 where
+    no rule was broken by the gateway, else 1.
+    """
+    from lab import runs
+
+    try:
+        plays = runs.plan(_scenario(scenario), seeds or (1,), variants or ("birchdrum",), gateways)
+    except runs.Unknown as wrong:
+        raise Ended(WRONG, str(wrong)) from None
+    broken = False
+    for play in plays:
+        result, cost = play.run()
+        broken |= play.variant == "birchdrum" and bool(result["broken"])
+        if as_json:
+            click.echo(json.dumps({"variant": play.variant, **result}, sort_keys=True))
+        else:
+            click.echo(runs.line(play, result, cost))
+    sys.exit(NOT_DONE if broken else DONE)
+
+
+def _seeds(text: str) -> list[int]:
+    """``1-5,9`` as numbers; raises Ended."""
+    found: list[int] = []
+    try:
+        for part in text.split(","):
+            first, _, last = part.partition("-")
+            found += range(int(first), int(last or first) + 1)
+    except ValueError:
+        raise Ended(WRONG, f"--seeds {text}: expected numbers and ranges, such as 1-5,9") from None
+    return found
+
+
+@lab.command("compare")
+@click.argument("scenarios", nargs=-1, required=True)
+@click.option("--seeds", default="1-5", show_default=True, help="Such as 1-5,9.")
+@click.option("--variant", "variants", multiple=True, help="By default birchdrum; the first is the base.")
+@click.option("--against", multiple=True, metavar="REV", help="Another revision's decisions; repeatable.")
+@click.option("--gateways", "sizes", multiple=True, type=click.IntRange(1, 1000), help="Sizes; repeatable.")
+@click.option("--out", type=A_FILE, default=Path("found/lab"), show_default=True)
+@click.option("--workers", type=click.IntRange(1), help="Plays side by side; by default one a core.")
+def compare(
+    scenarios: tuple[str, ...],
+    seeds: str,
+    variants: tuple[str, ...],
+    against: tuple[str, ...],
+    sizes: tuple[int, ...],
+    out: Path,
+    workers: int | None,
+) -> None:
+    """Play a matrix over all cores and tell differences to the first variant, in pairs by seed.
+
+    Results are kept in --out, one file a play; called again, only what is missing is played. Exit code 0
+    where every play was made, else 1.
+    """
+    import asyncio
+    import os
+
+    from rich.console import Console
+    from rich.progress import Progress
+
+    from lab import experiment, runs
+
+    try:
+        found = [
+            runs.sized(scenario, size) for scenario in map(_scenario, scenarios) for size in sizes or (None,)
+        ]
+        plays = experiment.matrix(found, _seeds(seeds), variants or ("birchdrum",), against)
+        console = Console(stderr=True)
+        with Progress(console=console, transient=True, disable=not console.is_terminal) as view:
+            bar = view.add_task("playing", total=len(plays))
+
+            def told(done: int, total: int, what: str) -> None:
+                view.update(bar, completed=done, description=what)
+
+            made = asyncio.run(experiment.run(plays, out, workers or os.cpu_count() or 1, told))
+    except runs.Unknown as wrong:
+        raise Ended(WRONG, str(wrong)) from None
+    except OSError as wrong:
+        raise Ended(NOT_DONE, f"{out}: {(wrong.strerror or str(wrong)).lower()}") from None
+    for row in experiment.differences(made):
+        click.echo(str(row))
+    if made.kept:
+        click.echo(f"{made.kept} of {len(plays)} plays were kept in {out}")
+    if made.failures:
+        raise Ended(NOT_DONE, *made.failures)
+
+
+@lab.command("again")
+@click.argument("file", type=A_FILE)
+def play_again(file: Path) -> None:
+    """Play a kept result anew from its file alone; exit code 0 where it is the same, else 1."""
+    from lab import experiment, runs
+
+    try:
+        same, text = experiment.again(file)
+    except runs.Unknown as wrong:
+        raise Ended(WRONG, str(wrong)) from None
+    click.echo(text)
+    sys.exit(DONE if same else NOT_DONE)
