The proving ground: processes under faults by a relay, a checker of files, and a model check

Need: membership, and all that follows, is to be judged by what several processes do when parts fail.

lab/cluster: gateways, list service and agents by the installed command, a socket for each directed pair of gateways, TCP to the list relayed; cut, loss, delay, reorder, double, garble, throttle on each direction, pause, kill, leave, restart and twin of processes, from a schedule or drawn from a seed. What ran, logs on one clock, what clients and hosts saw are files; nine rules read them alone; shrinking by ddmin. Children end by SIGKILL with the harness (a stopped one takes no other word), a guard at a pipe removes the folder: shown for Ctrl-C and SIGKILL. lab/model.py: the real cores, every placing of a few faults; it found on its first run that a former self's late message to one who knew the new life by hearsay alone raised KeyError (mended: hearsay of a life makes it there).

--- a/birchdrum/commands_lab.py
+++ b/birchdrum/commands_lab.py
@@ -9,7 +9,7 @@
 
 import click
 
-from .command import A_FILE, DONE, NOT_DONE, WRONG, Ended
+from .command import A_FILE, DONE, FAILED, NOT_DONE, WRONG, Ended
 
 
 @click.group()
@@ -157,3 +157,101 @@
         raise Ended(WRONG, str(wrong)) from None
     click.echo(text)
     sys.exit(DONE if same else NOT_DONE)
+
+
+@lab.command()
+@click.argument("schedules", nargs=-1)
+@click.option("--seed", "seeds", default="1", show_default=True, help="Such as 1-5,9.")
+@click.option("--gateways", type=click.IntRange(2, 200), help="Another number than the schedule's.")
+@click.option("--out", type=A_FILE, default=Path("found/cluster"), show_default=True)
+@click.option("--defect", help="Run gateways with a planted defect of this name: the checker must find it.")
+@click.option("--shrink", is_flag=True, help="Look for the fewest faults that still break a rule.")
+@click.option("--json", "as_json", is_flag=True, help="Verdicts as JSON, a line each.")
+def cluster(
+    schedules: tuple[str, ...],
+    seeds: str,
+    gateways: int | None,
+    out: Path,
+    defect: str | None,
+    shrink: bool,
+    as_json: bool,
+) -> None:
+    """Run real processes under the faults of SCHEDULES, files or names that ship; none: tell which ship.
+
+    Starts gateways, list service, agents, hosts and clients on loopback with a relay between them, does the
+    faults, and checks the files that are left in --out. Exit code 0 where no rule was broken, 4 where one
+    was, 1 where the fleet could not run. Nothing is left behind but the files.
+    """
+    import asyncio
+    import os
+
+    from lab import defects
+    from lab.cluster import campaign, fleet, schedule
+
+    if not schedules:
+        for name, file in schedule.shipped().items():
+            click.echo(f"{name:10} {schedule.load(file).about}")
+        return
+    module = "birchdrum"
+    if defect is not None:
+        if defect not in defects.DEFECTS:
+            raise Ended(WRONG, f"--defect {defect}: known are {', '.join(defects.DEFECTS)}")
+        module, os.environ[defects.VARIABLE] = "lab.defects", defect
+    found = {}
+    for name in schedules:
+        try:
+            found[name] = schedule.load(schedule.shipped().get(name, Path(name)))
+            if gateways:
+                found[name] = schedule.sized(found[name], gateways)
+        except schedule.Impossible as wrong:
+            raise Ended(WRONG, *wrong.lines) from None
+
+    async def one(name: str, seed: int) -> bool:
+        at = out / f"{Path(name).stem}-{seed}"
+        verdict = await campaign.run(found[name], seed, at, module)
+        click.echo(json.dumps(verdict.fields()) if as_json else "\n".join(campaign.lines(name, verdict)))
+        if verdict.breaches and shrink:
+
+            async def breaks(faults: list[schedule.Planned]) -> bool:
+                again = await campaign.run(found[name], seed, out / f"{at.name}-shrunk", module, faults)
+                return bool(again.breaches)
+
+            fewest = await campaign.shrink(verdict.faults, breaks)
+            click.echo("\n".join(["fewest faults that break a rule:", *(f"  {fault}" for fault in fewest)]))
+        return not verdict.breaches
+
+    async def all_of_them() -> int:
+        kept = [await one(name, seed) for name in found for seed in _seeds(seeds)]
+        return DONE if all(kept) else FAILED
+
+    try:
+        sys.exit(asyncio.run(campaign.until_told(all_of_them())))
+    except (fleet.Broken, OSError) as wrong:
+        raise Ended(NOT_DONE, str(wrong)) from None
+
+
+@lab.command()
+@click.option("--members", type=click.IntRange(2, 4), default=3, show_default=True)
+@click.option("--window", type=click.IntRange(1, 200), default=12, show_default=True, help="Steps of 50 ms.")
+@click.option("--faults", type=click.IntRange(0, 4), default=1, show_default=True, help="At most, on a path.")
+@click.option("--kind", "kinds", multiple=True, help="lose, double, late, pause, restart; by default all.")
+@click.option("--defect", help="Check a core with a planted defect of this name.")
+def model(members: int, window: int, faults: int, kinds: tuple[str, ...], defect: str | None) -> None:
+    """Check membership's invariants over every placing of a few faults in a short time.
+
+    Exit code 0 where all hold, 4 where one does not; the faults that led there are told.
+    """
+    from lab import defects
+    from lab import model as states
+    from orchidlane.membership import Membership
+
+    if odd := set(kinds) - set(states.KINDS):
+        raise Ended(WRONG, f"--kind {min(odd)}: known are {', '.join(states.KINDS)}")
+    if defect is not None and defect not in defects.DEFECTS:
+        raise Ended(WRONG, f"--defect {defect}: known are {', '.join(defects.DEFECTS)}")
+    core = defects.DEFECTS[defect] if defect else Membership
+    found = states.check(core, members, window, faults, kinds or states.KINDS)
+    click.echo(f"{found.states} states, {found.paths} paths, {found.known} of them known by then")
+    for broken in found.broken:
+        click.echo(f"BROKEN {broken}")
+    sys.exit(FAILED if found.broken else DONE)
--- a/birchdrum/demo.py
+++ b/birchdrum/demo.py
@@ -24,12 +24,12 @@
 from rich.table import Table
 
 from lab import ports
+from lab.children import Children
 from lab.clients import Clients, Customer, Front, Kind
 from lab.hosts import Host, Machine
 from lab.registration import Registration
 
 from . import calling
-from .children import Children
 
 ZONES = ("building-a", "building-b")
 KINDS = (Kind("reading", "repeatable", 2.0), Kind("order", "by_key", 3.0))
--- a/birchdrum/children.py
+++ b/lab/children.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import ctypes
+import functools
 import signal
 import sys
 from collections import deque
@@ -17,8 +18,8 @@
 libc = ctypes.CDLL(None, use_errno=True)
 
 
-def _end_with_parent() -> None:
-    libc.prctl(PR_SET_PDEATHSIG, signal.SIGTERM)
+def _end_with_parent(word: int) -> None:
+    libc.prctl(PR_SET_PDEATHSIG, word)
 
 
 class Child:
@@ -48,23 +49,27 @@
 class Children:
     """All of them, ended in the reverse order of their start."""
 
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
+    def __init__(self, folder: Path, last_word: signal.Signals = signal.SIGTERM) -> None:
+        """Logs go to ``folder``; ``last_word`` is what the kernel says to each where we end without a word.
+        A process that is stopped takes none but SIGKILL."""
+        self.folder, self.last_word = folder, last_word
         self.all: list[Child] = []
 
-    async def start(self, name: str, *words: str | Path, environment: dict[str, str]) -> Child:
+    async def start(
+        self, name: str, *words: str | Path, environment: dict[str, str], module: str = "birchdrum"
+    ) -> Child:
         """Run ``birchdrum`` once more with these words. It gets no Ctrl-C of the terminal: we end it."""
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "birchdrum",
+            module,
             *map(str, words),
             stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.PIPE,
             env=environment,
             start_new_session=True,
-            preexec_fn=_end_with_parent,
+            preexec_fn=functools.partial(_end_with_parent, self.last_word),
         )
         child = Child(name, process, self.folder / f"{name}.log")
         self.all.append(child)
--- a/lab/clients.py
+++ b/lab/clients.py
@@ -10,7 +10,7 @@
 import asyncio
 import time
 from collections import Counter, deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 import hiredis
@@ -179,6 +179,8 @@
         self, front: Front, customers: Sequence[Customer], kinds: Sequence[Kind], seed: np.random.SeedSequence
     ) -> None:
         self.front, self.customers, self.kinds = front, customers, kinds
+        # Told of each request: customer, id, what came, seconds, the gateway.
+        self.observer: Callable[[Customer, str, str, float, int], None] | None = None
         self.accounts = {customer.number: Account() for customer in customers}
         self.draws = [np.random.default_rng(part) for part in seed.spawn(len(customers))]
         self.tasks: set[asyncio.Task[None]] = set()
@@ -213,24 +215,26 @@
     async def _ask(self, customer: Customer, kind: Kind, number: str, draw: np.random.Generator) -> None:
         account, began = self.accounts[customer.number], time.monotonic()
         account.sent += 1
+        rank = self._gateway(customer, draw)
         try:
-            reply = await self._through(customer, kind, number, draw)
+            came = protocol.outcome(await self._through(customer, kind, number, rank))
         except (OSError, TimeoutError):
-            account.answers["lost"] += 1
-            return
-        came = protocol.outcome(reply)
+            came = "lost"
         account.answers[came] += 1
+        if self.observer:
+            self.observer(customer, number, came, time.monotonic() - began, rank)
         if came == "served":
             account.times.append(time.monotonic() - began)
             account.spend(customer, began)
 
-    async def _through(
-        self, customer: Customer, kind: Kind, number: str, draw: np.random.Generator
-    ) -> object:
-        """By one gateway of the set. A connection that was closed before it took the request gets another."""
+    def _gateway(self, customer: Customer, draw: np.random.Generator) -> int:
+        """One of its set, that was reached lately if there is any."""
         ranks = [(customer.first + i) % len(self.front.gateways) for i in range(customer.spread)]
         up = [rank for rank in ranks if self.front.up(rank)] or ranks
-        rank = up[int(draw.integers(len(up)))]
+        return up[int(draw.integers(len(up)))]
+
+    async def _through(self, customer: Customer, kind: Kind, number: str, rank: int) -> object:
+        """By that gateway. A connection that was closed before it took the request gets another."""
         words = command(customer, kind, number)
         for again in (False, True):
             kept = bool(self.front.idle[rank])
--- /dev/null
+++ b/lab/cluster/fleet.py
@@ -0,0 +1,414 @@
+"""A fleet of real processes with the relay between them, and the faults done to it in their time."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import resource
+import signal
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+import tomlkit
+
+from lab import ports
+from lab.children import Child, Children
+from lab.clients import Clients, Customer, Front, Kind
+from lab.hosts import Host, Machine
+from lab.registration import Registration
+
+from .guard import Guard
+from .record import Record, now_ms
+from .relay import Address, Datagrams, Links, Stream
+from .schedule import LIST, Planned, Schedule, gateways
+
+READY_WITHIN = 60.0  # seconds for a fleet of thirty on a loaded machine
+AGREE_WITHIN = 30.0
+END_WITHIN = 8.0
+LOOK_EVERY = 0.1
+ASK_WITHIN = 2.0
+STARTS_AT_ONCE = 8  # processes that come up side by side: each takes a core meanwhile
+CLUSTER = "proving-ground"
+SPARE = 512  # descriptors for all but the relay's sockets
+KINDS = (Kind("reading", "repeatable", 2.0), Kind("order", "by_key", 3.0))
+PLAN, RATE, BURST = "domestic", 4.0, 12.0
+DEMANDS = (0.5, 0.9, 1.6)  # of its quota, customer by customer
+
+
+class Broken(Exception):
+    """The fleet can't go on; the text says why."""
+
+
+async def ask(address: Address, line: str) -> str | None:
+    """One operator's call; None: not reached."""
+    try:
+        async with asyncio.timeout(ASK_WITHIN):
+            reader, writer = await asyncio.open_connection(*address, limit=1 << 18)
+            try:
+                writer.write(line.encode() + b"\n")
+                return (await reader.readline()).decode("utf-8", "replace").strip()
+            finally:
+                writer.close()
+    except (OSError, TimeoutError, ValueError):
+        return None
+
+
+async def table(address: Address) -> dict[str, Any] | None:
+    """A gateway's view by MEMBERS; None: not reached, or it has none."""
+    said = await ask(address, "MEMBERS")
+    if said is None or not said.startswith("done {"):
+        return None
+    found: dict[str, Any] = json.loads(said.removeprefix("done "))
+    return found
+
+
+class Gateway:
+    """One gateway's addresses, and how its process stands."""
+
+    def __init__(self, rank: int, addresses: list[Address]) -> None:
+        self.rank, self.name = rank, f"gw-{rank}"
+        self.listen, self.control, self.peer = addresses
+        self.child: Child | None = None
+        self.twin: Child | None = None
+        self.stopped = 0  # pauses that it is in
+        self.down = True  # killed, or left, on purpose
+
+    @property
+    def runs(self) -> bool:
+        """Whether it is up and not paused."""
+        return not self.down and not self.stopped and self.child is not None
+
+
+class Fleet:
+    """All of it; ``module`` is what gateways are run by, to put a defect into them."""
+
+    def __init__(
+        self, schedule: Schedule, seed: int, out: Path, folder: Path, module: str, member: bool
+    ) -> None:
+        self.schedule, self.seed, self.folder, self.module, self.member = (
+            schedule,
+            seed,
+            folder,
+            module,
+            member,
+        )
+        self.record = Record(out)
+        self.children = Children(out, signal.SIGKILL)
+        self.links = Links(seed)
+        found = [
+            ("127.0.0.1", port) for port in ports.free(3 * schedule.gateways + 2 * (1 + schedule.agents))
+        ]
+        count = schedule.gateways
+        self.gateways = [Gateway(rank, found[3 * rank : 3 * rank + 3]) for rank in range(count)]
+        self.service, self.operators = found[3 * count], found[3 * count + 1]
+        self.agents = [found[3 * count + 2 + 2 * i : 3 * count + 4 + 2 * i] for i in range(schedule.agents)]
+        self.datagrams: Datagrams | None = None
+        self.streams: list[Stream] = []
+        self.hosts: list[Host] = []
+        self.registrations: list[Registration] = []
+        self.clients: Clients | None = None
+        kept = os.environ.items()
+        # Nobody's configuration but the files here; TMPDIR would have a twin take over from the other.
+        self.environment = {k: v for k, v in kept if not k.startswith(("BIRCHDRUM_", "LB_", "TMPDIR"))}
+
+    # -- up and down ----------------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """The list service, hosts, agents and gateways; then clients. Raises Broken."""
+        count = self.schedule.gateways
+        self.datagrams = Datagrams(self.links, {g.name: g.peer for g in self.gateways})
+        words = ["registry", "serve", "--listen", _text(self.service), "--operators", _text(self.operators)]
+        store = self.folder / "list.db"
+        more: list[str | Path] = ["--store", store, "--new", "--settle", "0"]
+        await self.children.start(LIST, *words, *more, environment=self.environment)
+        parts = np.random.SeedSequence(self.seed).spawn(self.schedule.hosts + 1)
+        machine = Machine(slots=8, work={b"reading": 0.01, b"order": 0.02}, cold_from=0.5, warm_within=3.0)
+        for i, part in enumerate(parts[: self.schedule.hosts]):
+            host = await Host(f"host-{i}", machine, np.random.default_rng(part)).listen()
+            host.observer = self._observe_host(host.name)
+            self.hosts.append(host)
+            entry = Registration(self.service, host.name, _text(host.address), block=i // 4, lease_ms=20_000)
+            self.registrations.append(entry)
+        await self._wait(READY_WITHIN, self._registered, "the list service")
+        for entry in self.registrations:
+            entry.start()
+        lists = []
+        for i, (listen, operators) in enumerate(self.agents):
+            relayed = await self._stream(f"agent-{i}", self.service)
+            words = ["registry", "agent", "--listen", _text(listen), "--operators", _text(operators)]
+            more = ["--follow", _text(relayed), "--keep", self.folder / f"agent-{i}.list"]
+            await self.children.start(f"agent-{i}", *words, *more, environment=self.environment)
+            lists.append(listen)
+        turn = asyncio.Semaphore(STARTS_AT_ONCE)
+        for gateway in self.gateways:
+            near = lists[gateway.rank] if gateway.rank < len(lists) else self.service
+            discovery = await self._stream(gateway.name, near)
+            self._write(gateway.name, gateway, discovery)
+
+        async def begin(gateway: Gateway) -> None:
+            async with turn:
+                await self.run(gateway)
+                await self._wait(READY_WITHIN, lambda: self._ready(gateway), gateway.name)
+
+        await asyncio.gather(*map(begin, self.gateways))
+        if self.member and count > 1:
+            await self._wait(AGREE_WITHIN, self.agreed, "an equal view of all gateways")
+        front = Front([gateway.listen for gateway in self.gateways])
+        customers = [
+            Customer(100 + i, PLAN, RATE * DEMANDS[i % len(DEMANDS)], RATE, BURST, i % count, min(3, count))
+            for i in range(self.schedule.customers)
+        ]
+        self.clients = Clients(front, customers, KINDS, parts[-1])
+        self.clients.observer = self._observe_client
+        self.clients.start()
+
+    async def _stream(self, client: str, to: Address) -> Address:
+        stream = await Stream(self.links, client, LIST, to).listen()
+        self.streams.append(stream)
+        return stream.address
+
+    def _write(
+        self, name: str, gateway: Gateway, discovery: Address, twin: list[Address] | None = None
+    ) -> None:
+        assert self.datagrams is not None
+        peers = [
+            _text(gateway.peer if other is gateway else self.datagrams.address((gateway.name, other.name)))
+            for other in self.gateways
+        ]
+        fleet = {"rank": gateway.rank, "gateways": len(peers), "peers": peers, "intake": 100.0}
+        if self.member:
+            fleet["cluster"] = CLUSTER
+        listen, control = twin or (gateway.listen, gateway.control)
+        values = {
+            "name": gateway.name,
+            "listen": _text(listen),
+            "discovery": _text(discovery),
+            "control": _text(control),
+            "log": {"form": "json"},
+            "fleet": fleet,
+            "hosts": {"cold_from": 0.5, "warm_within": "3s"},
+            "classes": [
+                {"name": "reading", "effect": "repeatable", "aim": "500ms", "deadline": "2s"},
+                {"name": "order", "effect": "by_key", "aim": "1s", "deadline": "3s", "repeat_window": "5s"},
+            ],
+            "plans": [{"name": PLAN, "rate": RATE, "burst": BURST}],
+        }
+        (self.folder / f"{name}.toml").write_text(tomlkit.dumps(values))
+
+    async def run(self, gateway: Gateway, name: str = "") -> Child:
+        """Start its process."""
+        file = self.folder / f"{name or gateway.name}.toml"
+        child = await self.children.start(
+            name or gateway.name, "gateway", file, environment=self.environment, module=self.module
+        )
+        if not name:
+            gateway.child, gateway.down = child, False
+        return child
+
+    async def _registered(self) -> bool:
+        left = [entry for entry in self.registrations if not entry.version]
+        return all([await entry.register() for entry in left])
+
+    async def _ready(self, gateway: Gateway) -> bool:
+        said = await ask(gateway.control, "HEALTH")
+        return said is not None and said.startswith("done")
+
+    async def agreed(self) -> bool:
+        """Whether all that run hold each other to be there, all others not, and no direction dead that is
+        whole. Who yielded to a twin holds nothing any more."""
+        running = [g for g in self.gateways if g.runs]
+        found = await asyncio.gather(*(table(g.control) for g in running))
+        wanted = {g.rank for g in running}
+        return all(
+            view is not None
+            and (view["yielded"] or (here(view) == wanted and all(map(self._is_cut, view["links_down"]))))
+            for view in found
+        )
+
+    def _is_cut(self, ends: list[int]) -> bool:
+        a, b = (self.gateways[rank].name for rank in ends)
+        return self.links.at((a, b)).is_cut()
+
+    async def _wait(self, within: float, holds: Callable[[], Awaitable[bool]], what: str) -> None:
+        ends = time.monotonic() + within
+        while not await holds():
+            for child in self.children.ended():
+                raise Broken(await child.why())
+            if time.monotonic() > ends:
+                raise Broken(f"{what} did not come about within {within:g} s")
+            await asyncio.sleep(LOOK_EVERY)
+
+    async def end(self) -> None:
+        """Nothing is left."""
+        ends = time.monotonic() + END_WITHIN
+
+        def left() -> float:
+            return ends - time.monotonic()
+
+        if self.clients:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.clients.stop(), max(0.1, left()))
+        for gateway in self.gateways:
+            if gateway.stopped and gateway.child and gateway.child.process.returncode is None:
+                gateway.child.process.send_signal(signal.SIGCONT)
+        names = [child.name for child in self.children.all if child.name.startswith("gw-")]
+        await self.children.end(left, names or ["-"])
+        for entry in self.registrations:
+            if entry.task:
+                entry.task.cancel()
+        await self.children.end(left)
+        for host in self.hosts:
+            await host.close()
+        for stream in self.streams:
+            stream.close()
+        if self.datagrams:
+            self.datagrams.close()
+        self.record.close()
+
+    # -- what is seen ---------------------------------------------------------------------------------------
+
+    def _observe_host(self, name: str) -> Callable[[bytes, bytes, dict[bytes, bytes]], None]:
+        def begun(customer: bytes, number: bytes, terms: dict[bytes, bytes]) -> None:
+            fields = {
+                "customer": customer.decode(),
+                "id": number.decode(),
+                "units": float(terms.get(b"units", 1)),
+            }
+            self.record.line("hosts", host=name, **fields)
+
+        return begun
+
+    def _observe_client(self, customer: Customer, number: str, came: str, took: float, rank: int) -> None:
+        name = f"gw-{rank}"
+        self.record.line(
+            "clients", customer=customer.number, id=number, came=came, took_ms=int(1000 * took), gateway=name
+        )
+
+    # -- faults ---------------------------------------------------------------------------------------------
+
+    async def play(self, faults: list[Planned], lasts: float) -> None:
+        """Do all of them in their time, and wait until the schedule is over."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        steps = [(fault.at, 0, i, fault) for i, fault in enumerate(faults)]
+        steps += [(fault.at + fault.lasts, 1, i, fault) for i, fault in enumerate(faults) if fault.lasts]
+        for at, is_end, number, fault in sorted(steps, key=lambda step: step[:3]):
+            await asyncio.sleep(max(0.0, began + at - loop.time()))
+            late = int(1000 * (loop.time() - began - at))
+            # The word goes to the file at the side of the doing where the checker's rules are stricter.
+            if not is_end:
+                self._note("begun", number, late, fault)
+            await (self._undo if is_end else self._do)(fault)
+            if is_end:
+                self._note("ended", number, late, fault)
+        await asyncio.sleep(max(0.0, began + lasts - loop.time()))
+
+    def _note(self, step: str, number: int, late: int, fault: Planned) -> None:
+        self.record.line("faults", step=step, number=number, late_ms=late, fault=fault.fields())
+
+    def _chosen(self, fault: Planned) -> list[Gateway]:
+        return [gateway for gateway in self.gateways if gateway.name in fault.nodes]
+
+    async def _do(self, fault: Planned) -> None:
+        if fault.links:
+            self.links.begin(fault)
+        for gateway in self._chosen(fault):
+            child = gateway.child
+            if child is None or (gateway.down and fault.what != "twin"):
+                continue
+            match fault.what:
+                case "pause":
+                    gateway.stopped += 1
+                    child.process.send_signal(signal.SIGSTOP)
+                case "kill":
+                    gateway.down = True
+                    child.process.kill()
+                    await child.process.wait()
+                case "leave":
+                    gateway.down = True
+                    child.process.terminate()
+                case "twin":
+                    name = f"{gateway.name}-twin"
+                    own: list[Address] = [("127.0.0.1", port) for port in ports.free(2)]
+                    self._write(name, gateway, self.service, own)
+                    gateway.twin = await self.run(gateway, name)
+
+    async def _undo(self, fault: Planned) -> None:
+        if fault.links:
+            self.links.end(fault)
+        for gateway in self._chosen(fault):
+            child = gateway.child
+            match fault.what:
+                case "pause" if gateway.stopped:
+                    gateway.stopped -= 1
+                    if not gateway.stopped and child and not gateway.down:
+                        child.process.send_signal(signal.SIGCONT)
+                case "kill" | "leave" if gateway.down and child:
+                    await child.process.wait()
+                    gateway.stopped = 0
+                    await self.run(gateway)
+                case "twin" if gateway.twin:
+                    gateway.twin.process.terminate()
+
+    async def tables(self) -> dict[str, Any]:
+        """What each that runs holds now."""
+        running = [gateway for gateway in self.gateways if gateway.runs]
+        found = await asyncio.gather(*(table(gateway.control) for gateway in running))
+        return {gateway.name: view for gateway, view in zip(running, found, strict=True)}
+
+
+def here(view: dict[str, Any]) -> set[int]:
+    """Ranks that a gateway holds to be there, its own as well."""
+    return {view["rank"]} | {
+        int(rank) for rank, row in view["members"].items() if row[0] in ("alive", "suspect")
+    }
+
+
+def _text(address: Address) -> str:
+    return "{}:{}".format(*address)
+
+
+async def play(
+    schedule: Schedule,
+    faults: list[Planned],
+    seed: int,
+    out: Path,
+    module: str = "birchdrum",
+    member: bool = True,
+) -> None:
+    """One run of a fleet under these faults; its files are in ``out``. Raises Broken."""
+    wanted = SPARE + schedule.gateways * schedule.gateways
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (min(wanted, hard), hard))
+    folder = Path(tempfile.mkdtemp(prefix="birchdrum-cluster-"))
+    guard = Guard(folder)
+    fleet = Fleet(schedule, seed, out, folder, module, member)
+    run: dict[str, Any] = {"seed": seed, "gateways": schedule.gateways, "agreed": None}
+    try:
+        await fleet.start()
+        run["began"] = now_ms()
+        await fleet.play(faults, schedule.lasts.base / 1e6)
+        run["over"] = now_ms()
+        ends = time.monotonic() + schedule.settle.base / 1e6
+        while member and time.monotonic() < ends and run["agreed"] is None:
+            if await fleet.agreed():
+                run["agreed"] = now_ms()
+            await asyncio.sleep(LOOK_EVERY)
+        run["names"] = gateways(schedule.gateways)
+        run["running"] = [gateway.name for gateway in fleet.gateways if gateway.runs]
+        run["ended"] = [child.name for child in fleet.children.ended()]
+        fleet.record.whole("tables", await fleet.tables())
+        fleet.record.whole("links", fleet.links.seen())
+        fleet.record.whole("run", run)
+    finally:
+        try:
+            await fleet.end()
+        finally:
+            guard.end()
--- /dev/null
+++ b/lab/cluster/schedule.py
@@ -0,0 +1,242 @@
+"""A schedule of faults: a TOML file, typed and checked, and what a seed makes of it.
+
+Nodes are ``gw-0``, ``gw-0..3``, ``list`` or ``*``; links are two sides with ``>`` or ``<>`` between them, as
+in ``gw-0 > gw-1..3``; ``*`` is everybody else among the gateways.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Iterable, Iterator
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Annotated, Any, Literal, get_args
+
+import msgspec
+import numpy as np
+from msgspec import Meta, field
+
+from ops.checking import Amount, Count, Many, Mistake, Strict, typed, usual
+from ops.units import Duration
+
+FOLDER = Path(__file__).parent / "schedules"
+LIST = "list"  # the list service
+
+Link = tuple[str, str]  # from, to
+OnLinks = Literal["cut", "loss", "delay", "reorder", "double", "garble", "throttle"]
+OnNodes = Literal["pause", "kill", "leave", "twin"]
+ON_LINKS: tuple[str, ...] = get_args(OnLinks)
+What = Annotated[
+    OnLinks | OnNodes,
+    Meta(description="cut, loss, delay, reorder, double, garble, throttle, pause, kill, leave or twin"),
+]
+
+
+class Fault(Strict):
+    """One thing that goes wrong. ``amount`` is a part of the messages (loss, double, garble) or messages a
+    second (throttle), ``by`` a time (delay, reorder). After ``lasts`` it is over: links are as before, who
+    was paused goes on, who was killed or left starts anew; 0s: never."""
+
+    what: What
+    at: Duration
+    lasts: Duration = usual(Duration("0s"))
+    links: list[str] = field(default_factory=list)
+    nodes: list[str] = field(default_factory=list)
+    amount: Amount = 0.0
+    by: Duration = usual(Duration("0s"))
+
+
+class Draw(Strict):
+    """So many faults of a kind, drawn from the seed within ranges: nodes or directed links of gateways."""
+
+    what: What
+    count: Many
+    at: list[Duration]
+    lasts: list[Duration]
+    amount: list[Amount] = field(default_factory=lambda: [0.0, 0.0])
+    by: list[Duration] = field(default_factory=lambda: [Duration("0s"), Duration("0s")])
+
+
+class Schedule(Strict):
+    """A fleet and what happens to it. ``settle`` is the time after the last fault until views must agree."""
+
+    about: str = ""
+    gateways: Many = 5
+    hosts: Many = 4
+    agents: Count = 0
+    customers: Many = 6
+    lasts: Duration = usual(Duration("10s"))
+    settle: Duration = usual(Duration("6s"))
+    faults: list[Fault] = field(default_factory=list)
+    draws: list[Draw] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Planned:
+    """A fault as it will be done: seconds from the schedule's start, nodes and directed links by name."""
+
+    what: str
+    at: float
+    lasts: float
+    nodes: tuple[str, ...]
+    links: tuple[Link, ...]
+    amount: float
+    by: float
+
+    def fields(self) -> dict[str, Any]:
+        """For files; ``planned`` reads it back."""
+        return asdict(self)
+
+    def __str__(self) -> str:
+        where = ", ".join(self.nodes) or ", ".join(f"{a}>{b}" for a, b in self.links[:6])
+        more = f" and {len(self.links) - 6} more" if len(self.links) > 6 else ""
+        span = f" for {self.lasts:g} s" if self.lasts else ""
+        amount = f" {self.amount:g}" if self.amount else ""
+        return f"at {self.at:g} s{span}: {self.what}{amount} {where}{more}"
+
+
+def planned(fields: dict[str, Any]) -> Planned:
+    """The opposite of ``Planned.fields``."""
+    links = tuple((str(a), str(b)) for a, b in fields["links"])
+    return Planned(**(fields | {"links": links, "nodes": tuple(fields["nodes"])}))
+
+
+class Impossible(Exception):
+    """A schedule that can't be played; ``lines`` are all its mistakes."""
+
+    def __init__(self, lines: Iterable[str]) -> None:
+        self.lines = list(lines)
+        super().__init__("\n".join(self.lines))
+
+
+def shipped() -> dict[str, Path]:
+    """The schedules that ship, by name."""
+    return {file.stem: file for file in sorted(FOLDER.glob("*.toml"))}
+
+
+def load(file: Path) -> Schedule:
+    """A file's schedule; raises Impossible with all that is wrong."""
+    try:
+        raw = tomllib.loads(file.read_text())
+    except OSError as wrong:
+        raise Impossible([f"{file}: {(wrong.strerror or str(wrong)).lower()}"]) from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as wrong:
+        raise Impossible([f"{file}: is no whole TOML: {wrong}"]) from None
+    schedule, mistakes = typed(raw, Schedule)
+    if schedule is not None:
+        mistakes = list(_relations(schedule))
+    if mistakes or schedule is None:
+        raise Impossible(f"{file}: {mistake}" for mistake in mistakes)
+    return schedule
+
+
+def sized(schedule: Schedule, count: int) -> Schedule:
+    """With another number of gateways; raises Impossible where its faults name others."""
+    done = msgspec.structs.replace(schedule, gateways=count)
+    if mistakes := list(_relations(done)):
+        raise Impossible(str(mistake) for mistake in mistakes)
+    return done
+
+
+def _relations(schedule: Schedule) -> Iterator[Mistake]:
+    names = gateways(schedule.gateways)
+    for i, fault in enumerate(schedule.faults):
+        at = f"faults[{i}]"
+        wanted, other = ("links", "nodes") if fault.what in ON_LINKS else ("nodes", "links")
+        if not getattr(fault, wanted) or getattr(fault, other):
+            yield Mistake(
+                f"{at}.{wanted}", "", f"{fault.what} happens to {wanted}: name some, and no {other}"
+            )
+            continue
+        try:
+            _nodes(fault.nodes, names)
+            _links(fault.links, names)
+        except ValueError as wrong:
+            yield Mistake(f"{at}.{wanted}", str(getattr(fault, wanted)), str(wrong))
+        if fault.what in ("loss", "double", "garble") and not 0 < fault.amount <= 1:
+            yield Mistake(f"{at}.amount", f"{fault.amount:g}", "expected a part above 0, of 1 at most")
+        if fault.at.base > schedule.lasts.base:
+            yield Mistake(f"{at}.at", f'"{fault.at}"', f"expected within lasts, {schedule.lasts}")
+    for i, draw in enumerate(schedule.draws):
+        for key in ("at", "lasts", "amount", "by"):
+            if len(getattr(draw, key)) != 2:
+                yield Mistake(
+                    f"draws[{i}].{key}", str(getattr(draw, key)), "expected two values, least and most"
+                )
+
+
+def gateways(count: int) -> list[str]:
+    """Their names."""
+    return [f"gw-{rank}" for rank in range(count)]
+
+
+def _side(text: str, names: list[str]) -> list[str] | None:
+    """Nodes of one side; None: everybody else."""
+    found: list[str] = []
+    for word in (word.strip() for word in text.split(",")):
+        if word == "*":
+            return None
+        first, dots, last = word.partition("..")
+        ranks = (
+            range(int(first[3:]), int(last) + 1) if dots and last.isdigit() and first[3:].isdigit() else ()
+        )
+        some = [f"gw-{rank}" for rank in ranks] if dots else [first]
+        if not some or any(name not in names and name != LIST for name in some):
+            raise ValueError(f"{word!r} is no node of {names[0]} to {names[-1]}, {LIST} or *")
+        found += some
+    return found
+
+
+def _nodes(words: Iterable[str], names: list[str]) -> tuple[str, ...]:
+    found: dict[str, None] = {}
+    for word in words:
+        found |= dict.fromkeys(_side(word, names) or names)
+    return tuple(found)
+
+
+def _links(words: Iterable[str], names: list[str]) -> tuple[Link, ...]:
+    found: dict[Link, None] = {}
+    for word in words:
+        both = "<>" in word
+        left, sign, right = word.partition("<>" if both else ">")
+        if not sign:
+            raise ValueError(f"{word!r}: expected two sides with > or <> between them")
+        a, b = _side(left, names), _side(right, names)
+        a = [name for name in names if b is None or name not in b] if a is None else a
+        b = [name for name in names if name not in a or word.count("*") == 2] if b is None else b
+        pairs = [(x, y) for x in a for y in b if x != y]
+        found |= dict.fromkeys(pairs)
+        if both:
+            found |= dict.fromkeys((y, x) for x, y in pairs)
+    return tuple(found)
+
+
+def plan(schedule: Schedule, seed: int) -> list[Planned]:
+    """All faults as they will be done, in the order of their beginning."""
+    names = gateways(schedule.gateways)
+    done = [
+        Planned(
+            fault.what,
+            fault.at.base / 1e6,
+            fault.lasts.base / 1e6,
+            _nodes(fault.nodes, names),
+            _links(fault.links, names),
+            fault.amount,
+            fault.by.base / 1e6,
+        )
+        for fault in schedule.faults
+    ]
+    for number, draw in enumerate(schedule.draws):
+        generator = np.random.default_rng([seed, number])
+
+        def between(values: list[Any], generator: np.random.Generator = generator) -> float:
+            least, most = (v.base / 1e6 if isinstance(v, Duration) else v for v in values)
+            return round(float(generator.uniform(least, most)), 3)
+
+        for _ in range(draw.count):
+            a, b = (str(name) for name in generator.choice(names, 2, replace=False))
+            on_link = draw.what in ON_LINKS
+            nodes, links = (() if on_link else (a,)), (((a, b),) if on_link else ())
+            times = between(draw.at), between(draw.lasts)
+            done.append(Planned(draw.what, *times, nodes, links, between(draw.amount), between(draw.by)))
+    return sorted(done, key=lambda fault: fault.at)
--- a/lab/defects.py
+++ b/lab/defects.py
@@ -13,7 +13,7 @@
 from orchidlane.member_messages import Message, Row, Word
 from orchidlane.membership import Membership
 
-VARIABLE = "BIRCHDRUM_LAB_DEFECT"
+VARIABLE = "LAB_DEFECT"  # not of those that the proving ground takes away
 
 
 class NoIncarnation(Membership):
--- a/lab/hosts.py
+++ b/lab/hosts.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections import deque
+from collections.abc import Callable
 
 import hiredis
 import numpy as np
@@ -62,7 +64,10 @@
     def _ticket(self, words: list[bytes]) -> Ticket:
         terms = dict(pair.split(b"=", 1) for pair in words[3].split(b","))
         until = self.host.loop.time() + int(terms[b"d"]) / 1_000
-        ticket = Ticket(terms[b"c"], words[2], until, lambda how: self._answer(ticket, how))
+        begun = None
+        if observer := self.host.observer:
+            begun = functools.partial(observer, words[1], words[2], terms)
+        ticket = Ticket(terms[b"c"], words[2], until, lambda how: self._answer(ticket, how), begun)
         return ticket
 
     def _answer(self, ticket: Ticket, how: str) -> None:
@@ -91,6 +96,8 @@
         self.loop = asyncio.get_running_loop()
         self.station = Station(machine, draw, self.loop.time, self.loop.call_later)
         self.links: set[Link] = set()
+        # Told of each request that begins to run: customer, id, its terms.
+        self.observer: Callable[[bytes, bytes, dict[bytes, bytes]], None] | None = None
         self.server: asyncio.Server | None = None
         self.address = ("127.0.0.1", 0)
 
--- /dev/null
+++ b/lab/model.py
@@ -0,0 +1,241 @@
+"""Explicit-state check of membership: the real cores, and every placing of a few faults in a short time.
+
+Between faults all is fixed (a message takes one step, ticks come in the order of ranks), so a path is named
+by its faults alone: each step of the window branches into no fault and each fault that can be done then, as
+long as some are left. After the window nothing goes wrong any more, and what must hold then is looked at.
+States that were reached before by other faults are not gone through again.
+"""
+
+from __future__ import annotations
+
+import copy
+import pickle
+from collections.abc import Collection, Iterator
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+from orchidlane import member_state as state
+from orchidlane.membership import TICK, Membership
+
+START = 1_000_000_000
+WARM = 60  # steps until all know each other, before the window
+QUIET = 160  # steps after it until views must be equal
+PAUSES = (12, 80)  # steps: shorter and longer than a suspicion
+LATE = 30  # steps that a late message takes
+EVERY = 3  # steps of the window between two places of a fault
+SEED = 7
+KINDS = ("lose", "double", "late", "pause", "restart")
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One thing that goes wrong at a step: lose, double or late a message (``which`` of the step's), or pause
+    (so many steps) or restart a member (``which`` rank)."""
+
+    step: int
+    what: str
+    which: int
+    span: int = 0
+
+    def __str__(self) -> str:
+        span = f" for {self.span}" if self.span else ""
+        return f"{self.what} {self.which}{span} at {self.step}"
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """An invariant that does not hold, and the faults that led there."""
+
+    what: str
+    faults: tuple[Fault, ...]
+
+    def __str__(self) -> str:
+        return f"{self.what}: {'; '.join(map(str, self.faults)) or 'without a fault'}"
+
+
+@dataclass(slots=True)
+class World:
+    """A few members, what is on its way, and what has been seen of them."""
+
+    kind: type[Membership]
+    size: int
+    step: int = 0
+    cores: list[Membership] = field(default_factory=list)
+    paused: list[int] = field(default_factory=list)  # until which step
+    waiting: list[list[tuple[int, bytes]]] = field(default_factory=list)  # in a paused one's socket
+    way: list[tuple[int, int, int, bytes]] = field(default_factory=list)  # due, from, to, what
+    known: dict[tuple[int, int], tuple[int, int]] = field(
+        default_factory=dict
+    )  # life, incarnation by (of, at)
+    wrong: str = ""
+
+    def now(self) -> int:
+        """Microseconds."""
+        return START + self.step * TICK
+
+    def core(self, rank: int, life: int) -> Membership:
+        """A process from nothing."""
+        return self.kind(rank, self.size, "model", life, SEED + rank, self.now(), 200.0)
+
+    def begin(self) -> World:
+        """All up, and known to each other."""
+        self.cores = [self.core(rank, 1_000 + rank) for rank in range(self.size)]
+        self.paused, self.waiting = [0] * self.size, [[] for _ in range(self.size)]
+        for _ in range(WARM):
+            self.go()
+        return self
+
+    def go(self, faults: tuple[Fault, ...] = ()) -> None:
+        """One step with these faults."""
+        self.step += 1
+        now = self.now()
+        for fault in faults:
+            if fault.what == "pause":
+                self.paused[fault.which] = self.step + fault.span
+            elif fault.what == "restart":
+                was = self.cores[fault.which].life
+                self.cores[fault.which] = self.core(fault.which, was + 100)
+                self.paused[fault.which], self.waiting[fault.which] = 0, []
+                self.known = {at: held for at, held in self.known.items() if at[1] != fault.which}
+        due = [message for message in self.way if message[0] <= self.step]
+        self.way = [message for message in self.way if message[0] > self.step]
+        of_step = {fault.which: fault.what for fault in faults if fault.what in ("lose", "double", "late")}
+        for place, (_, sender, rank, body) in enumerate(due):
+            match of_step.get(place):
+                case "lose":
+                    continue
+                case "late":
+                    self.way.append((self.step + LATE, sender, rank, body))
+                    continue
+                case "double":
+                    self.way.append((self.step + LATE, sender, rank, body))
+            self._arrive(now, sender, rank, body)
+        for rank in range(self.size):
+            if self.paused[rank] > self.step:
+                continue
+            waited, self.waiting[rank] = self.waiting[rank], []
+            for sender, body in waited:
+                self._arrive(now, sender, rank, body)
+            self._carry(rank, self.cores[rank].tick(now))
+            if self.paused[rank] == self.step and not self.cores[rank].view.doubtful:
+                self.wrong = self.wrong or f"{rank} stood still and does not doubt its view"
+        self._look()
+
+    def _arrive(self, now: int, sender: int, rank: int, body: bytes) -> None:
+        if self.paused[rank] > self.step:
+            self.waiting[rank].append((sender, body))
+        else:
+            self._carry(rank, self.cores[rank].heard(now, sender, body))
+
+    def _carry(self, rank: int, actions: list[state.Action]) -> None:
+        for action in actions:
+            if isinstance(action, state.Tell):
+                self.way.append((self.step + 1, rank, action.rank, action.body))
+
+    def _look(self) -> None:
+        """Lives and incarnations never go back."""
+        for at, core in enumerate(self.cores):
+            for member in core.members.values():
+                held = member.life, member.incarnation
+                if held < self.known.get((member.rank, at), held):
+                    self.wrong = (
+                        self.wrong or f"{at} went back to an older life or incarnation of {member.rank}"
+                    )
+                self.known[member.rank, at] = held
+
+    def gone(self) -> list[tuple[int, int]]:
+        """Who holds whom gone."""
+        return [
+            (at, member.rank)
+            for at, core in enumerate(self.cores)
+            for member in core.members.values()
+            if member.state is state.State.GONE
+        ]
+
+    def faults(self, kinds: Collection[str]) -> Iterator[Fault]:
+        """What of these kinds can go wrong in the next step."""
+        due = sum(message[0] <= self.step + 1 for message in self.way)
+        for what in [what for what in ("lose", "double", "late") if what in kinds]:
+            for place in range(due):
+                yield Fault(self.step, what, place)
+        for rank in [rank for rank in range(self.size) if self.paused[rank] <= self.step]:
+            if "restart" in kinds:
+                yield Fault(self.step, "restart", rank)
+            for span in PAUSES if "pause" in kinds else ():
+                yield Fault(self.step, "pause", rank, span)
+
+    def print(self) -> bytes:
+        """What tells two states apart."""
+        parts = self.step, self.paused, self.waiting, self.way, [vars(core) for core in self.cores]
+        return blake2b(pickle.dumps(parts), digest_size=16).digest()
+
+
+@dataclass(slots=True)
+class Result:
+    """What was gone through and what was found."""
+
+    states: int = 0
+    paths: int = 0
+    known: int = 0  # states that were reached before
+    broken: list[Broken] = field(default_factory=list)
+
+
+def check(
+    kind: type[Membership] = Membership,
+    size: int = 2,
+    window: int = 24,
+    faults: int = 1,
+    kinds: Collection[str] = KINDS,
+    most: int = 10,
+) -> Result:
+    """Every placing of up to so many faults within the window; ends after ``most`` broken paths."""
+    result = Result()
+    seen: set[bytes] = set()
+    stack: list[tuple[World, tuple[Fault, ...]]] = [(World(kind, size).begin(), ())]
+    first = stack[0][0].step
+    while stack and len(result.broken) < most:
+        world, done = stack.pop()
+        place = world.step - first
+        if place >= window:
+            mark = world.print()
+            if mark in seen:
+                result.known += 1
+                continue
+            seen.add(mark)
+            result.paths += 1
+            if what := _settle(world, done):
+                result.broken.append(Broken(what, done))
+            continue
+        result.states += 1
+        if len(done) < faults and place % EVERY == 0:
+            for fault in world.faults(kinds):
+                other = copy.deepcopy(world)
+                other.go((fault,))
+                stack.append((other, (*done, fault)))
+        world.go()
+        stack.append((world, done))
+    return result
+
+
+def _settle(world: World, faults: tuple[Fault, ...]) -> str:
+    """Nothing more goes wrong: what does not hold then; empty: all does."""
+    ends = max([world.step, *world.paused, *(due for due, *_ in world.way)]) + QUIET
+    hurt = {fault.which for fault in faults if fault.what in ("pause", "restart")}
+    anew = {fault.which for fault in faults if fault.what == "restart"}
+    while world.step < ends:
+        world.go()
+        for at, rank in world.gone():
+            if rank not in hurt and at not in anew:  # who stood still is no excuse for its word of others
+                return f"{at} held {rank} gone, which ran and was heard"
+    if world.wrong:
+        return world.wrong
+    if gone := world.gone():
+        return f"{gone[0][0]} holds {gone[0][1]} gone for ever, which runs"
+    views = [
+        sorted((m.rank, m.life, m.state in state.HERE) for m in core.members.values()) for core in world.cores
+    ]
+    for at, core in enumerate(world.cores):
+        wanted = [(other.rank, other.life, True) for other in world.cores if other is not core]
+        if views[at] != wanted:
+            return f"{at} does not hold what runs"
+    return ""
--- a/orchidlane/membership.py
+++ b/orchidlane/membership.py
@@ -306,7 +306,7 @@
 
     def _row(self, now: int, member: Member) -> Row:
         """What is held of it."""
-        word, aged = WORDS[member.state], member.state in (State.SUSPECT, State.GONE)
+        word, aged = WORDS.get(member.state, Word.ALIVE), member.state in (State.SUSPECT, State.GONE)
         by = next(iter(member.accusers), self.rank)
         return Row(word, member.rank, member.life, member.incarnation, now - member.since if aged else 0, by)
 
@@ -512,6 +512,8 @@
             return
         member.there, member.voucher = at, by if by != self.rank else member.voucher
         cleared = member.state is State.SUSPECT and at > member.since + MARGIN
+        if member.state is State.UNKNOWN:
+            self._set(now, member, State.ALIVE)
         if cleared:
             member.cleared, member.clears = now, member.clears + 1
             self._set(now, member, State.ALIVE)
--- /dev/null
+++ b/tests/test_model.py
@@ -0,0 +1,46 @@
+"""The model check of membership: invariants hold on all paths, planted defects break them."""
+
+from __future__ import annotations
+
+import pytest
+
+from lab import defects, model
+from orchidlane.membership import Membership
+
+
+@pytest.mark.parametrize(
+    ("size", "window", "faults", "kinds"),
+    [
+        (2, 24, 1, model.KINDS),
+        (3, 18, 1, model.KINDS),
+        (2, 9, 2, model.KINDS),
+        (3, 9, 2, ("late", "restart")),
+    ],
+)
+def test_every_placing_of_a_few_faults_keeps_the_invariants(size, window, faults, kinds):
+    result = model.check(size=size, window=window, faults=faults, kinds=kinds)
+    assert result.broken == []
+    assert result.paths > 30 and result.states > result.paths
+
+
+@pytest.mark.parametrize(
+    ("defect", "faults", "kinds", "what"),
+    [
+        ("no-incarnation", 1, model.KINDS, "for ever"),
+        ("no-refutation", 1, model.KINDS, "for ever"),
+        ("no-self-doubt", 1, model.KINDS, "does not doubt"),
+        ("old-lives-count", 2, ("late", "restart"), "went back"),
+    ],
+)
+def test_a_planted_defect_breaks_an_invariant(defect, faults, kinds, what):
+    result = model.check(defects.DEFECTS[defect], size=3, window=12, faults=faults, kinds=kinds, most=1)
+    assert what in str(result.broken[0])
+
+
+def test_the_same_choices_lead_to_the_same_state():
+    one, other = (model.World(Membership, 3).begin() for _ in range(2))
+    assert one.print() == other.print()
+    fault = next(iter(one.faults(("restart",))))
+    one.go((fault,))
+    other.go()
+    assert one.print() != other.print()
