--- a/registry/metrics.py
+++ b/registry/metrics.py
@@ -3,15 +3,23 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
+from typing import Any, Protocol
 
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.metrics_core import Metric
 
 from ops.metrics import Page, counter, gauge, labelled
 
-if TYPE_CHECKING:
-    from .service import Service
+
+class Service(Protocol):
+    """What a page needs of a primary, follower or agent."""
+
+    def figures(self) -> dict[str, Any]:
+        """What ``GET /figures`` tells."""
+
+    def trouble(self) -> str | None:
+        """Why ``GET /health`` says no; None: it says yes."""
+
 
 GAUGES = {
     "seq": "The list's number",
