Membership: dead directions are part of what views must agree on; measured against two baselines

birchdrum lab members measures kills, false words under loss and standstills, dead directions, heals and cost on the virtual clock, in pairs by seed with heartbeats to all and SWIM as published.

--- a/birchdrum/commands_lab.py
+++ b/birchdrum/commands_lab.py
@@ -118,7 +118,10 @@
     from rich.console import Console
     from rich.progress import Progress
 
-    from lab import experiment, runs
+    try:
+        from lab import experiment, runs
+    except ModuleNotFoundError as missing:
+        raise Ended(NOT_DONE, f"lab compare needs {missing.name}: install birchdrum's extra [lab]") from None
 
     try:
         found = [
@@ -255,3 +258,46 @@
     for broken in found.broken:
         click.echo(f"BROKEN {broken}")
     sys.exit(FAILED if found.broken else DONE)
+
+
+@lab.command()
+@click.option("--what", "whats", multiple=True, help="kill, false, pauses, name, heal, rest; by default all.")
+@click.option("--variant", "variants", multiple=True, help="birchdrum, swim, heartbeats; by default all.")
+@click.option("--size", "sizes", multiple=True, type=click.IntRange(2, 1000), help="Members; by default 30.")
+@click.option("--loss", "losses", multiple=True, type=click.FloatRange(0, 0.9), help="By default none.")
+@click.option("--seeds", default="1-5", show_default=True, help="Such as 1-5,9.")
+@click.option("--out", type=A_FILE, default=Path("found/members"), show_default=True)
+@click.option("--workers", type=click.IntRange(1), help="Measurements side by side; by default one a core.")
+def members(
+    whats: tuple[str, ...],
+    variants: tuple[str, ...],
+    sizes: tuple[int, ...],
+    losses: tuple[float, ...],
+    seeds: str,
+    out: Path,
+    workers: int | None,
+) -> None:
+    """Measure membership on the virtual clock against two baselines, in pairs by seed.
+
+    Results are kept in --out, one file a measurement; called again, only what is missing is measured.
+    """
+    import os
+
+    from lab import member_baselines, member_study
+
+    for words, known, option in (
+        (whats, member_study.WHAT, "--what"),
+        (variants, member_baselines.VARIANTS, "--variant"),
+    ):
+        if odd := set(words) - set(known):
+            raise Ended(WRONG, f"{option} {min(odd)}: known are {', '.join(known)}")
+    jobs = [
+        member_study.Job(what, variant, size, seed, loss)
+        for what in whats or member_study.WHAT
+        for size in sizes or (30,)
+        for loss in losses or (0.0,)
+        for seed in _seeds(seeds)
+        for variant in variants or member_baselines.VARIANTS
+    ]
+    for line in member_study.summary(member_study.run(jobs, out, workers or os.cpu_count() or 1)):
+        click.echo(line)
--- a/lab/defects.py
+++ b/lab/defects.py
@@ -11,6 +11,7 @@
 from orchidlane import member_state as state
 from orchidlane import membership
 from orchidlane.member_messages import Message, Row, Word
+from orchidlane.member_news import MEMBER
 from orchidlane.membership import Membership
 
 VARIABLE = "LAB_DEFECT"  # not of those that the proving ground takes away
@@ -24,7 +25,7 @@
         super()._learn_of_myself(now, row)
         if row.life == self.life:
             self.incarnation = was
-            self.news.pop((self.rank, 0), None)
+            self.news.drop(self.rank, MEMBER)
 
 
 class NoRefutation(Membership):
--- /dev/null
+++ b/lab/member_baselines.py
@@ -0,0 +1,101 @@
+"""What membership is measured against: plain timeouts on heartbeats, and SWIM without self-doubt."""
+
+from __future__ import annotations
+
+from orchidlane import member_state as state
+from orchidlane import membership
+from orchidlane.member_messages import Message, Row, Word
+
+from .membership import Core, Factory, Ours, ours
+
+EVERY = 1_000_000  # microseconds between two heartbeats to each
+MISSED = 3  # of them until a member is gone
+
+
+class Heartbeats:
+    """To everybody once a second; gone after three seconds of silence."""
+
+    def __init__(self, rank: int, size: int, now: int) -> None:
+        self.rank, self.others = rank, [other for other in range(size) if other != rank]
+        self.heard_at = dict.fromkeys(self.others, now)
+        self.gone: set[int] = set()
+        self.next = now
+
+    def _turn(self, rank: int, is_gone: bool, now: int) -> state.Notice:
+        (self.gone.add if is_gone else self.gone.discard)(rank)
+        word = "gone" if is_gone else "alive"
+        return state.Notice("member", {"member": rank, "state": word})
+
+    def tick(self, now: int) -> list[state.Action]:
+        """Beat, and look who is late."""
+        done: list[state.Action] = []
+        if now >= self.next:
+            self.next = max(self.next + EVERY, now)
+            done += [state.Tell(other, b"here") for other in self.others]
+        for other, at in self.heard_at.items():
+            if now - at > MISSED * EVERY and other not in self.gone:
+                done.append(self._turn(other, True, now))
+        return done
+
+    def heard(self, now: int, sender: int, data: bytes) -> list[state.Action]:
+        """It is there."""
+        self.heard_at[sender] = now
+        return [self._turn(sender, False, now)] if sender in self.gone else []
+
+    def leave(self, now: int) -> list[state.Action]:
+        """Knows no such word."""
+        return []
+
+    def holds_here(self, rank: int) -> bool:
+        """Not gone."""
+        return rank not in self.gone
+
+
+class PlainSwim(Ours):
+    """SWIM as published: probes, relays, suspicion of one length, refutation. No health of its own, no look
+    of one's own before the end, no evidence but the suspect's word, a GONE is believed, nothing of links."""
+
+    def _begin(self, now: int) -> None:
+        self.last = now
+        super()._begin(now)
+        self.health = 0
+
+    def _patience(self, member: state.Member) -> float:
+        return membership.SUSPECT_LEAST * max(membership.SIZE_LEAST, self._log(1) * 0.30103)
+
+    def _vouch(self, now: int, member: state.Member) -> bool:
+        return False
+
+    def _reported(self, now: int, member: state.Member, heard: int) -> None:
+        return
+
+    def _learn_doubt(self, now: int, member: state.Member, row: Row, at: int) -> bool:
+        member.there = 0
+        super()._learn_doubt(now, member, row, at)
+        if row.word is Word.GONE and member.state in state.HERE and row.incarnation >= member.incarnation:
+            self._set(now, member, state.State.GONE)
+            self.news.add(now, row)
+        return False
+
+    def _look_at_suspects(self, now: int) -> None:
+        for member in [self.members[rank] for rank in self.suspects]:
+            if now - member.noticed >= self._patience(member):
+                self._set(now, member, state.State.GONE)
+                self.news.add(now, self._row(now, member))
+
+    def _take(self, now: int, message: Message) -> None:
+        self.fresh = True
+        super()._take(now, message)
+
+
+def heartbeats(rank: int, size: int, life: int, seed: int, now: int) -> Core:
+    """The first baseline."""
+    return Heartbeats(rank, size, now)
+
+
+def swim(rank: int, size: int, life: int, seed: int, now: int) -> Core:
+    """The second one."""
+    return PlainSwim(rank, size, "lab", life, seed, now, intake=100.0)
+
+
+VARIANTS: dict[str, Factory] = {"birchdrum": ours, "swim": swim, "heartbeats": heartbeats}
--- a/orchidlane/membership.py
+++ b/orchidlane/membership.py
@@ -18,6 +18,7 @@
 
 from . import member_messages as messages
 from .member_messages import Kind, Message, Row, Word
+from .member_news import HEARD, SUSPICION, News
 from .member_state import HERE, WORDS, Action, Member, Notice, Probe, State, Tell, View
 
 MS, SECOND = 1_000, 1_000_000  # microseconds
@@ -36,7 +37,6 @@
 PRESSING = 3  # members that are told at once of a suspicion or a death found here
 CHECKERS = 6  # members that look for themselves when they hear of a suspicion, on average
 ROUNDS = 2  # of probes, without a word: the other end of a pair probes as well
-HOP = 25 * MS  # on the way for no longer: who was heard must not seem heard later by each one that tells it
 MARGIN = 50 * MS  # evidence must be so much newer than a suspicion: ages grow on the way
 QUIET = 2 * SECOND  # after others' word cleared a suspicion, until we raise one of it again
 HEARD_LATELY = 2 * SECOND  # who spoke since then counts as heard
@@ -51,7 +51,6 @@
 HEARD_FRESH = 3  # members (or all there are) that must be heard after a standstill until doubt ends
 CUT_PATIENCE = 30 * SECOND  # so long who hears nobody calls nobody gone
 TWIN_AFTER = 2 * SECOND  # after the start: what is told of a former self until then is no twin
-URGENCY = {Word.SUSPECT: 0, Word.LEFT: 0, Word.GONE: 1, Word.ALIVE: 1, Word.HEARD: 2}  # of news
 
 
 class Membership:
@@ -70,7 +69,7 @@
         self.probes: dict[int, Probe] = {}
         # (who asked, its probe): when a NACK is due, and for whom
         self.relaying: dict[tuple[int, int], tuple[int, int]] = {}
-        self.news: dict[tuple[int, ...], tuple[Row, int, int]] = {}  # row, when it was put in, times told
+        self.news = News(self._log(RESENDS))
         # Always in the same order, so that no pair waits for two rounds.
         self.ring = self.random.sample(sorted(self.members), len(self.members))
         self.turn = 0
@@ -127,7 +126,7 @@
         self._begin(now)
         if not self.left and not self.yielded:
             self.incarnation += 1
-            self._add_news(now, Row(Word.LEFT, self.rank, self.life, self.incarnation))
+            self.news.add(now, Row(Word.LEFT, self.rank, self.life, self.incarnation))
             here = [m.rank for m in self.members.values() if m.state in HERE]
             self.allowance = max(self.allowance, 2.0 * len(here[: self._log(4)]))
             for rank in self.random.sample(here, min(len(here), self._log(4))):
@@ -251,7 +250,8 @@
         member.sent.append((self.number, now))
         rows = messages.fit(self._rows(now, member))
         for row in rows:
-            self._told(row)
+            if not self.news.told(row):
+                self.fill_at = (row.rank + 1) % self.size
         message = Message(
             kind,
             self.rank,
@@ -290,13 +290,11 @@
         if to.state in (State.SUSPECT, State.GONE) or to.is_former:
             to.is_former = False
             yield self._row(now, to)
-        for row, put, _ in sorted(self.news.values(), key=lambda n: (n[2], URGENCY.get(n[0].word, 3))):
-            if row.word not in messages.AGED:
-                yield row
-            elif row.rank != to.rank:
-                age = row.age + now - put + HOP * (row.word is Word.HEARD)
-                yield Row(row.word, row.rank, row.life, row.incarnation, age, row.by)
+        yield from self.news.rows(now, to.rank)
         if to.differs:
+            for (rank, by), (life, number, down) in self.links.items():
+                if rank in (self.rank, self.fill_at):  # others' in their turn: there may be many
+                    yield Row(Word.LINK_DOWN if down else Word.LINK_UP, rank, life, number, by=by)
             for step in range(self.size):
                 rank = (self.fill_at + step) % self.size
                 if rank == self.rank:
@@ -310,26 +308,6 @@
         by = next(iter(member.accusers), self.rank)
         return Row(word, member.rank, member.life, member.incarnation, now - member.since if aged else 0, by)
 
-    def _key(self, row: Row) -> tuple[int, ...]:
-        """What replaces what among the news: an accuser's word stands for itself."""
-        if row.word in (Word.SUSPECT, Word.LINK_DOWN, Word.LINK_UP):
-            return row.rank, 1 + (row.word is not Word.SUSPECT), row.by
-        return row.rank, 3 if row.word is Word.HEARD else 0
-
-    def _add_news(self, now: int, row: Row) -> None:
-        self.news[self._key(row)] = row, now, 0
-
-    def _told(self, row: Row) -> None:
-        """Once more; news that was told often enough is none."""
-        key = self._key(row)
-        known, put, times = self.news.get(key, (None, 0, 0))
-        if known and (known.word, known.life, known.incarnation) == (row.word, row.life, row.incarnation):
-            self.news[key] = known, put, times + 1
-            if times + 1 >= self._log(RESENDS):
-                del self.news[key]
-        else:
-            self.fill_at = (row.rank + 1) % self.size
-
     def _take(self, now: int, message: Message) -> None:
         """A whole message of this cluster, from the address of its sender."""
         member = self.members[message.sender]
@@ -393,7 +371,7 @@
             self._vouch(now, member)
         elif member.state is not State.ALIVE:
             self._set(now, member, State.ALIVE)
-            self._add_news(now, self._row(now, member))
+            self.news.add(now, self._row(now, member))
         if self.heard_since is not None:
             self.heard_since.add(member.rank)
             self._look_at_doubt()
@@ -458,9 +436,12 @@
 
     def _link(self, now: int, to: int, down: bool) -> None:
         if self.links.get((self.rank, to), (0, 0, False))[2] is not down:
-            self.reports += 1
-            word = Word.LINK_DOWN if down else Word.LINK_UP
-            self._learn_link(now, Row(word, self.rank, self.life, self.reports, by=to))
+            self._report(now, to, down)
+
+    def _report(self, now: int, to: int, down: bool) -> None:
+        self.reports += 1
+        word = Word.LINK_DOWN if down else Word.LINK_UP
+        self._learn_link(now, Row(word, self.rank, self.life, self.reports, by=to))
 
     def _learn_link(self, now: int, row: Row) -> None:
         """The report of the end that sends."""
@@ -469,8 +450,9 @@
         if (row.life, row.incarnation) <= (life, number) or row.rank == row.by:
             return
         self.links[at] = row.life, row.incarnation, down
-        self._add_news(now, row)
+        self.news.add(now, row)
         if was is not down:
+            self.digest ^= zlib.crc32(b"%d %d" % at)
             self.actions.append(Notice("link", {"from": row.rank, "to": row.by, "down": down}))
 
     # -- what is held of members ----------------------------------------------------------------------------
@@ -479,8 +461,12 @@
         """One row of another's; ages tell when what it rests on happened, by our clock. Whether it doubts
         what we know better."""
         if row.word in (Word.LINK_DOWN, Word.LINK_UP):
-            if row.rank != self.rank and row.life >= self.members[row.rank].life:
-                self._learn_link(now, row)
+            down = row.word is Word.LINK_DOWN
+            if row.rank != self.rank:
+                if row.life >= self.members[row.rank].life:
+                    self._learn_link(now, row)
+            elif row.life == self.life and self.links.get((self.rank, row.by), (0, 0, False))[2] is not down:
+                self._report(now, row.by, not down)  # an old word of ours that others still hold
             return False
         if row.rank == self.rank:
             self._learn_of_myself(now, row)
@@ -495,13 +481,13 @@
         elif row.word is Word.LEFT:
             member.incarnation = max(member.incarnation, row.incarnation)
             self._set(now, member, State.LEFT)
-            self._add_news(now, row)
+            self.news.add(now, row)
         elif row.word is Word.ALIVE:
             if row.incarnation > member.incarnation or member.state is State.UNKNOWN:
                 member.incarnation = row.incarnation
                 if member.state is not State.ALIVE:
                     self._set(now, member, State.ALIVE)
-                self._add_news(now, row)
+                self.news.add(now, row)
         elif row.incarnation >= member.incarnation:
             return self._learn_doubt(now, member, row, at)
         return False
@@ -559,16 +545,16 @@
             self.health = min(HEALTH_MOST, self.health + 1)
         else:
             return
-        self._add_news(now, Row(Word.ALIVE, self.rank, self.life, self.incarnation))
+        self.news.add(now, Row(Word.ALIVE, self.rank, self.life, self.incarnation))
 
     def _vouch(self, now: int, member: Member) -> bool:
         """Tell that it was there, and when; whether that is news."""
         by = self.rank if member.heard >= member.there or member.voucher < 0 else member.voucher
         row = Row(Word.HEARD, member.rank, member.life, member.incarnation, now - member.there, by)
-        known = self.news.get(self._key(row))
-        is_newer = known is None or known[1] - known[0].age < member.there - MARGIN
+        known = self.news.since(row)
+        is_newer = known is None or known < member.there - MARGIN
         if is_newer:
-            self._add_news(now, row)
+            self.news.add(now, row)
         return is_newer
 
     def _suspect(self, now: int, member: Member, since: int, by: int) -> None:
@@ -582,7 +568,7 @@
             member.accusers.add(by)
             if not self.view.cut_off:  # who hears nobody has nothing to tell
                 age = now - member.since
-                self._add_news(now, Row(Word.SUSPECT, member.rank, member.life, member.incarnation, age, by))
+                self.news.add(now, Row(Word.SUSPECT, member.rank, member.life, member.incarnation, age, by))
 
     def _patience(self, member: Member) -> float:
         """How long a suspicion lasts: the shorter, the more members found it independently; half of the
@@ -614,7 +600,7 @@
                     member.checked = now
             elif left <= 0 and now - member.checked >= FAIL_AFTER:
                 self._set(now, member, State.GONE)
-                self._add_news(now, self._row(now, member))
+                self.news.add(now, self._row(now, member))
                 self._spread(now)
 
     def _new_life(self, member: Member, life: int) -> None:
@@ -646,18 +632,17 @@
         fields = {"member": member.rank, "state": state.value, "was": member.state.value}
         self._count(member, state)
         if state is not State.SUSPECT:
-            for key in [key for key in self.news if key[:2] == (member.rank, 1)]:
-                del self.news[key]
+            self.news.drop(member.rank, SUSPICION)
         if state in (State.GONE, State.LEFT):
             self._forget_links(member.rank)
-            self.news.pop((member.rank, 3), None)
+            self.news.drop(member.rank, HEARD)
             member.sent.clear()
         fields |= {"life": member.life, "incarnation": member.incarnation}
         self.actions.append(Notice("member", fields))
 
     def _forget_links(self, rank: int) -> None:
         for ends in [ends for ends in self.links if rank in ends]:
-            del self.links[ends]
+            self.digest ^= zlib.crc32(b"%d %d" % ends) * self.links.pop(ends)[2]
 
     @staticmethod
     def _share(rank: int, life: int, state: State) -> int:
