Proving ground: rolling restarts from the revision before, upgrades in service

What waited in the socket of a process that stood still is no more answered: 210 stale pings took its room for the messages that it needed. Numbers on the wire are packed by messages.py alone.

--- a/birchdrum/commands_lab.py
+++ b/birchdrum/commands_lab.py
@@ -168,6 +168,7 @@
 @click.option("--gateways", type=click.IntRange(2, 200), help="Another number than the schedule's.")
 @click.option("--out", type=A_FILE, default=Path("found/cluster"), show_default=True)
 @click.option("--defect", help="Run gateways with a planted defect of this name: the checker must find it.")
+@click.option("--before", metavar="REV", help="Gateways begin as this revision; restarts bring today's.")
 @click.option("--shrink", is_flag=True, help="Look for the fewest faults that still break a rule.")
 @click.option("--json", "as_json", is_flag=True, help="Verdicts as JSON, a line each.")
 def cluster(
@@ -176,6 +177,7 @@
     gateways: int | None,
     out: Path,
     defect: str | None,
+    before: str | None,
     shrink: bool,
     as_json: bool,
 ) -> None:
@@ -211,12 +213,13 @@
 
     async def one(name: str, seed: int) -> bool:
         at = out / f"{Path(name).stem}-{seed}"
-        verdict = await campaign.run(found[name], seed, at, module)
+        verdict = await campaign.run(found[name], seed, at, module, None, before)
         click.echo(json.dumps(verdict.fields()) if as_json else "\n".join(campaign.lines(name, verdict)))
         if verdict.breaches and shrink:
 
             async def breaks(faults: list[schedule.Planned]) -> bool:
-                again = await campaign.run(found[name], seed, out / f"{at.name}-shrunk", module, faults)
+                smaller = out / f"{at.name}-shrunk"
+                again = await campaign.run(found[name], seed, smaller, module, faults, before)
                 return bool(again.breaches)
 
             fewest = await campaign.shrink(verdict.faults, breaks)
--- a/lab/cluster/campaign.py
+++ b/lab/cluster/campaign.py
@@ -51,12 +51,17 @@
 
 
 async def run(
-    schedule: Schedule, seed: int, out: Path, module: str = "birchdrum", faults: list[Planned] | None = None
+    schedule: Schedule,
+    seed: int,
+    out: Path,
+    module: str = "birchdrum",
+    faults: list[Planned] | None = None,
+    before: str | None = None,
 ) -> Verdict:
     """Play once into ``out``, which is emptied first. Raises ``fleet.Broken``."""
     shutil.rmtree(out, ignore_errors=True)
     planned = plan(schedule, seed) if faults is None else faults
-    await fleet.play(schedule, planned, seed, out, module)
+    await fleet.play(schedule, planned, seed, out, module, before)
     evidence = record.read(out)
     verdict = Verdict(seed, out, planned, checker.breaches(evidence), figures(evidence))
     (out / "verdict.json").write_text(json.dumps(verdict.fields(), indent=1) + "\n")
--- a/lab/cluster/checker.py
+++ b/lab/cluster/checker.py
@@ -65,7 +65,7 @@
 
     def _away(self, node: str, first: int, last: int) -> bool:
         """Whether a process was not there, or only starting, at any moment between."""
-        gone = self._on(("kill", "leave"), first - START, last)
+        gone = self._on(("kill", "leave", "upgrade"), first - START, last)
         if any(node in span.fault.nodes for span in gone):
             return True
         return any(node in span.fault.nodes for span in self._on(("pause", "twin"), first, last))
@@ -241,9 +241,11 @@
 
     def no_process_ends_by_itself(self) -> Iterator[Breach]:
         """Only who was told to."""
-        told = {name for span in self._on(("kill", "leave"), 0, FOREVER) for name in span.fault.nodes}
-        twins = {f"{name}-twin" for span in self._on(("twin",), 0, FOREVER) for name in span.fault.nodes}
-        for name in sorted(set(self.e.run["ended"]) - told - twins):
+        ends = ("kill", "leave", "upgrade", "twin")
+        told = {name for span in self._on(ends, 0, FOREVER) for name in span.fault.nodes}
+        for name in sorted(set(self.e.run["ended"])):
+            if name.removesuffix("-twin").removesuffix("-before") in told:
+                continue
             yield self._breach("process ended", self.over, f"{name} ended by itself")
 
 
--- a/lab/cluster/fleet.py
+++ b/lab/cluster/fleet.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import contextlib
+import io
 import json
 import os
 import resource
 import signal
+import subprocess
+import tarfile
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
@@ -35,6 +38,7 @@
 ASK_WITHIN = 2.0
 STARTS_AT_ONCE = 8  # processes that come up side by side: each takes a core meanwhile
 CLUSTER = "proving-ground"
+UPGRADE_YES = 0.3  # seconds from its yes to the word to the process before it
 SPARE = 512  # descriptors for all but the relay's sockets
 KINDS = (Kind("reading", "repeatable", 2.0), Kind("order", "by_key", 3.0))
 PLAN, RATE, BURST = "domestic", 4.0, 12.0
@@ -89,15 +93,10 @@
     """All of it; ``module`` is what gateways are run by, to put a defect into them."""
 
     def __init__(
-        self, schedule: Schedule, seed: int, out: Path, folder: Path, module: str, member: bool
+        self, schedule: Schedule, seed: int, out: Path, folder: Path, module: str, before: str | None
     ) -> None:
-        self.schedule, self.seed, self.folder, self.module, self.member = (
-            schedule,
-            seed,
-            folder,
-            module,
-            member,
-        )
+        self.schedule, self.seed, self.folder, self.module = schedule, seed, folder, module
+        self.before = _checkout(before, folder / "before") if before else None
         self.record = Record(out)
         self.children = Children(out, signal.SIGKILL)
         self.links = Links(seed)
@@ -113,8 +112,9 @@
         self.hosts: list[Host] = []
         self.registrations: list[Registration] = []
         self.clients: Clients | None = None
+        self.tasks: list[asyncio.Task[None]] = []
         kept = os.environ.items()
-        # Nobody's configuration but the files here; TMPDIR would have a twin take over from the other.
+        # Nobody's configuration but the files here; each gateway has a TMPDIR of its own for its upgrades.
         self.environment = {k: v for k, v in kept if not k.startswith(("BIRCHDRUM_", "LB_", "TMPDIR"))}
 
     # -- up and down ----------------------------------------------------------------------------------------
@@ -150,14 +150,16 @@
             near = lists[gateway.rank] if gateway.rank < len(lists) else self.service
             discovery = await self._stream(gateway.name, near)
             self._write(gateway.name, gateway, discovery)
+            if self.before:  # it knows no membership
+                self._write(f"{gateway.name}-before", gateway, discovery, cluster=None)
 
         async def begin(gateway: Gateway) -> None:
             async with turn:
-                await self.run(gateway)
+                await self.run(gateway, "-before" if self.before else "")
                 await self._wait(READY_WITHIN, lambda: self._ready(gateway), gateway.name)
 
         await asyncio.gather(*map(begin, self.gateways))
-        if self.member and count > 1:
+        if not self.before and count > 1:
             await self._wait(AGREE_WITHIN, self.agreed, "an equal view of all gateways")
         front = Front([gateway.listen for gateway in self.gateways])
         customers = [
@@ -174,7 +176,12 @@
         return stream.address
 
     def _write(
-        self, name: str, gateway: Gateway, discovery: Address, twin: list[Address] | None = None
+        self,
+        name: str,
+        gateway: Gateway,
+        discovery: Address,
+        twin: list[Address] | None = None,
+        cluster: str | None = CLUSTER,
     ) -> None:
         assert self.datagrams is not None
         peers = [
@@ -182,8 +189,8 @@
             for other in self.gateways
         ]
         fleet = {"rank": gateway.rank, "gateways": len(peers), "peers": peers, "intake": 100.0}
-        if self.member:
-            fleet["cluster"] = CLUSTER
+        if cluster:
+            fleet["cluster"] = cluster
         listen, control = twin or (gateway.listen, gateway.control)
         values = {
             "name": gateway.name,
@@ -201,13 +208,18 @@
         }
         (self.folder / f"{name}.toml").write_text(tomlkit.dumps(values))
 
-    async def run(self, gateway: Gateway, name: str = "") -> Child:
-        """Start its process."""
-        file = self.folder / f"{name or gateway.name}.toml"
-        child = await self.children.start(
-            name or gateway.name, "gateway", file, environment=self.environment, module=self.module
-        )
-        if not name:
+    async def run(self, gateway: Gateway, kind: str = "") -> Child:
+        """Start its process; ``kind`` is nothing, ``-before`` (by the revision before) or ``-twin``."""
+        name = gateway.name + kind
+        scratch = self.folder / (name if kind == "-twin" else gateway.name)
+        scratch.mkdir(exist_ok=True)
+        environment = self.environment | {"TMPDIR": str(scratch)}
+        module = self.module
+        if kind == "-before":
+            environment["PYTHONPATH"], module = str(self.before), "birchdrum"
+        file = self.folder / f"{name}.toml"
+        child = await self.children.start(name, "gateway", file, environment=environment, module=module)
+        if kind != "-twin":
             gateway.child, gateway.down = child, False
         return child
 
@@ -251,6 +263,8 @@
         def left() -> float:
             return ends - time.monotonic()
 
+        for task in self.tasks:
+            task.cancel()
         if self.clients:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.clients.stop(), max(0.1, left()))
@@ -337,7 +351,17 @@
                     name = f"{gateway.name}-twin"
                     own: list[Address] = [("127.0.0.1", port) for port in ports.free(2)]
                     self._write(name, gateway, self.service, own)
-                    gateway.twin = await self.run(gateway, name)
+                    gateway.twin = await self.run(gateway, "-twin")
+                case "upgrade":
+                    await self.run(gateway)
+                    self.tasks.append(asyncio.get_running_loop().create_task(self._end_elder(gateway, child)))
+
+    async def _end_elder(self, gateway: Gateway, elder: Child) -> None:
+        """The platform's part of an upgrade: SIGTERM once the next process says yes."""
+        await self._wait(READY_WITHIN, lambda: self._ready(gateway), f"{gateway.name}'s next process")
+        await asyncio.sleep(UPGRADE_YES)
+        if elder.process.returncode is None:
+            elder.process.terminate()
 
     async def _undo(self, fault: Planned) -> None:
         if fault.links:
@@ -370,6 +394,19 @@
     }
 
 
+def _checkout(revision: str, folder: Path) -> Path:
+    """That revision's tree; raises Broken."""
+    folder.mkdir()
+    root = Path(__file__).parent.parent.parent
+    words = ["git", "archive", "--format=tar", revision]
+    done = subprocess.run(words, cwd=root, capture_output=True, check=False)
+    if done.returncode:
+        raise Broken(f"revision {revision}: {done.stderr.decode('utf-8', 'replace').strip()}")
+    with tarfile.open(fileobj=io.BytesIO(done.stdout)) as tree:
+        tree.extractall(folder, filter="data")
+    return folder
+
+
 def _text(address: Address) -> str:
     return "{}:{}".format(*address)
 
@@ -380,24 +417,29 @@
     seed: int,
     out: Path,
     module: str = "birchdrum",
-    member: bool = True,
+    before: str | None = None,
 ) -> None:
-    """One run of a fleet under these faults; its files are in ``out``. Raises Broken."""
+    """One run of a fleet under these faults; its files are in ``out``. With ``before`` gateways begin as that
+    revision, and what is started later is of today. Raises Broken."""
     wanted = SPARE + schedule.gateways * schedule.gateways
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft < wanted:
         resource.setrlimit(resource.RLIMIT_NOFILE, (min(wanted, hard), hard))
     folder = Path(tempfile.mkdtemp(prefix="birchdrum-cluster-"))
     guard = Guard(folder)
-    fleet = Fleet(schedule, seed, out, folder, module, member)
     run: dict[str, Any] = {"seed": seed, "gateways": schedule.gateways, "agreed": None}
+    try:
+        fleet = Fleet(schedule, seed, out, folder, module, before)
+    except BaseException:
+        guard.end()
+        raise
     try:
         await fleet.start()
         run["began"] = now_ms()
         await fleet.play(faults, schedule.lasts.base / 1e6)
         run["over"] = now_ms()
         ends = time.monotonic() + schedule.settle.base / 1e6
-        while member and time.monotonic() < ends and run["agreed"] is None:
+        while time.monotonic() < ends and run["agreed"] is None:
             if await fleet.agreed():
                 run["agreed"] = now_ms()
             await asyncio.sleep(LOOK_EVERY)
--- a/lab/cluster/schedule.py
+++ b/lab/cluster/schedule.py
@@ -24,17 +24,18 @@
 
 Link = tuple[str, str]  # from, to
 OnLinks = Literal["cut", "loss", "delay", "reorder", "double", "garble", "throttle"]
-OnNodes = Literal["pause", "kill", "leave", "twin"]
+OnNodes = Literal["pause", "kill", "leave", "upgrade", "twin"]
 ON_LINKS: tuple[str, ...] = get_args(OnLinks)
 What = Annotated[
     OnLinks | OnNodes,
-    Meta(description="cut, loss, delay, reorder, double, garble, throttle, pause, kill, leave or twin"),
+    Meta(description=f"{', '.join((*ON_LINKS, *get_args(OnNodes)))}"),
 ]
 
 
 class Fault(Strict):
     """One thing that goes wrong. ``amount`` is a part of the messages (loss, double, garble) or messages a
-    second (throttle), ``by`` a time (delay, reorder). After ``lasts`` it is over: links are as before, who
+    second (throttle), ``by`` a time (delay, reorder). ``upgrade`` starts the next process beside the one that
+    serves, which ends once it has handed over. After ``lasts`` it is over: links are as before, who
     was paused goes on, who was killed or left starts anew; 0s: never."""
 
     what: What
--- a/orchidlane/member_messages.py
+++ b/orchidlane/member_messages.py
@@ -14,8 +14,9 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from .messages import SIZE_MOST, put, read_varint
+
 FORMAT, VERSION = 3, 1
-SIZE_MOST = 256  # bytes: what the transport carries
 TAG = 8  # bytes
 HEAD = struct.Struct("<BHH7sIIIIBHII")
 START = 2 + TAG  # bytes before the head
@@ -90,24 +91,16 @@
     return hashlib.blake2s(cluster.encode()).digest()
 
 
-def _put(out: bytearray, *values: int) -> None:
-    for value in values:
-        while value > 0x7F:
-            out.append(value & 0x7F | 0x80)
-            value >>= 7
-        out.append(value)
-
-
 def pack_row(row: Row) -> bytes:
     """One row as bytes."""
     out = bytearray((row.word,))
-    _put(out, row.rank)
+    put(out, row.rank)
     out += row.life.to_bytes(LIFE_BYTES, "little")
-    _put(out, row.incarnation)
+    put(out, row.incarnation)
     if row.word in AGED:
-        _put(out, min(-(-row.age // AGE_UNIT), 0x1FFFFF))  # never younger by rounding
+        put(out, min(-(-row.age // AGE_UNIT), 0x1FFFFF))  # never younger by rounding
     if row.word not in (Word.ALIVE, Word.LEFT):
-        _put(out, row.by)
+        put(out, row.by)
     return bytes(out)
 
 
@@ -184,31 +177,19 @@
         raise Odd("malformed") from None
 
 
-def _read(body: bytes, at: int) -> tuple[int, int]:
-    value = shift = 0
-    while True:
-        byte = body[at]
-        value |= (byte & 0x7F) << shift
-        at, shift = at + 1, shift + 7
-        if byte < 0x80:
-            return value, at
-        if shift > 28:
-            raise ValueError("number too long")
-
-
 def _rows(body: bytes, at: int, ranks: int) -> Iterable[Row]:
     while at < len(body):
         word = Word(body[at])
-        rank, at = _read(body, at + 1)
+        rank, at = read_varint(body, at + 1)
         if at + LIFE_BYTES > len(body):
             raise ValueError("cut off")
         life, at = int.from_bytes(body[at : at + LIFE_BYTES], "little"), at + LIFE_BYTES
-        incarnation, at = _read(body, at)
+        incarnation, at = read_varint(body, at)
         age = by = 0
         if word in AGED:
-            age, at = _read(body, at)
+            age, at = read_varint(body, at)
         if word not in (Word.ALIVE, Word.LEFT):
-            by, at = _read(body, at)
+            by, at = read_varint(body, at)
         if max(rank, by) >= ranks or incarnation > COUNT_MOST:
             raise ValueError("out of range")
         yield Row(word, rank, life, incarnation, age * AGE_UNIT, by)
--- a/orchidlane/membership.py
+++ b/orchidlane/membership.py
@@ -328,8 +328,6 @@
         self.fresh = self.fresh or own >= self.fresh_after
         if not self.fresh:  # it waited in the socket while we stood still
             self.counts["dropped_stale"] += 1
-            if message.kind is Kind.PING:
-                self._answer(now, message)
             return
         self._hear(now, member, message)
         if not message.doubtful:
--- a/orchidlane/messages.py
+++ b/orchidlane/messages.py
@@ -48,7 +48,8 @@
     rows: tuple[Row, ...]
 
 
-def _put(out: bytearray, *values: int) -> None:
+def put(out: bytearray, *values: int) -> None:
+    """Append numbers of 0 or more."""
     for value in values:
         while value > 0x7F:
             out.append(value & 0x7F | 0x80)
@@ -56,7 +57,8 @@
         out.append(value)
 
 
-def _read_varint(body: bytes, at: int) -> tuple[int, int]:
+def read_varint(body: bytes, at: int) -> tuple[int, int]:
+    """A number and the place behind it; raises ValueError or IndexError."""
     byte = body[at]
     if byte < 0x80:
         return byte, at + 1
@@ -72,10 +74,10 @@
 def pack_row(row: Row, sent: int, ranks: int) -> bytes:
     """One row as bytes; starts are told as ages at the send time."""
     out, first, ticks = bytearray(), row.set_first, sent // TICK
-    _put(out, row.customer, row.plan, first, row.set_size, row.reach)
-    _put(out, int(row.room * SCALE), int(row.total * SCALE), int(row.rights * SCALE), len(row.counts))
+    put(out, row.customer, row.plan, first, row.set_size, row.reach)
+    put(out, int(row.room * SCALE), int(row.total * SCALE), int(row.rights * SCALE), len(row.counts))
     for rank, start, value in row.counts:
-        _put(out, (rank - first) % ranks, max(0, ticks - start), int(value * SCALE))
+        put(out, (rank - first) % ranks, max(0, ticks - start), int(value * SCALE))
     return bytes(out)
 
 
@@ -110,16 +112,16 @@
         while at < len(body):
             head = []
             for _ in range(9):
-                value, at = _read_varint(body, at)
+                value, at = read_varint(body, at)
                 head.append(value)
             customer, plan, first, size, reach, room, total, rights, number = head
             if plan >= plans or first >= ranks or not 1 <= size <= ranks or reach >= size or number > size:
                 return None
             counts = []
             for _ in range(number):
-                place, at = _read_varint(body, at)
-                age, at = _read_varint(body, at)
-                value, at = _read_varint(body, at)
+                place, at = read_varint(body, at)
+                age, at = read_varint(body, at)
+                value, at = read_varint(body, at)
                 if place >= size:
                     return None
                 counts.append(((first + place) % ranks, ticks - age, value / SCALE))
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -17,6 +17,8 @@
 from lab import defects
 from lab.cluster import campaign, checker, record, schedule
 
+BEFORE = "91e53ca"  # the last revision without membership
+
 
 def play(tmp_path: Path, *words: object, **more: str) -> tuple[int, list[dict]]:
     """One call of the command; its exit code and verdicts."""
@@ -113,6 +115,24 @@
     assert code == 4 and rule in {breach["rule"] for breach in verdict["breaches"]}
 
 
+def test_a_fleet_of_the_revision_before_is_restarted_to_this_one_and_one_is_upgraded_in_service(tmp_path):
+    """Older gateways drop membership's messages; what joins is known to all that are new by then."""
+    file = tmp_path / "rolling.toml"
+    steps = [("leave", 0, 1, 2), ("leave", 1, 4, 2), ("leave", 2, 7, 2), ("upgrade", 0, 11, 0)]
+    faults = "".join(
+        f'[[faults]]\nwhat = "{what}"\nnodes = ["gw-{rank}"]\nat = "{at}s"\nlasts = "{lasts}s"\n'
+        for what, rank, at, lasts in steps
+    )
+    file.write_text(f'gateways = 3\nhosts = 1\ncustomers = 3\nlasts = "13s"\nsettle = "6s"\n{faults}')
+    code, [verdict] = play(tmp_path, file, "--before", BEFORE)
+    assert code == 0, verdict["breaches"]
+    evidence = record.read(Path(verdict["out"]))
+    assert all(len(view["members"]) == 2 for view in evidence.tables.values())
+    assert verdict["requests"]["served"] > 30
+    lives = {life for view in evidence.tables.values() for _, life, *_ in [view["members"].get("0", (0, 0))]}
+    assert len(lives - {0}) == 1  # the upgraded one's new life, everywhere
+
+
 @pytest.mark.parametrize("end", [signal.SIGINT, signal.SIGKILL])
 def test_nothing_is_left_whatever_ends_the_harness(end, tmp_path):
     """A stopped process, too, and the folder."""
