--- a/lab/baselines.py
+++ b/lab/baselines.py
@@ -13,7 +13,8 @@
 from orchidlane.rules import Gateway
 
 from .judge import Store
-from .virtual import Decider, Factory
+from .node import Decider
+from .virtual import Factory
 
 if TYPE_CHECKING:
     from .virtual import World
--- a/lab/membership.py
+++ b/lab/membership.py
@@ -14,9 +14,8 @@
 from orchidlane import member_state as state
 from orchidlane.membership import TICK, Membership
 
-from .virtual import Kernel, Uniform, draws
+from .kernel import T0, Kernel, Uniform, draws
 
-T0 = 1_000_000_000
 SECOND = 1_000_000
 DELAY = (200, 1_200)  # microseconds on the way
 
