Demo shows a fault: one gateway paused, killed or cut off, marked in the table, its losses told apart

The demo runs with membership, so that birchdrum control members shows it as well. birchdrum lab cost measures what membership costs a gateway.

--- a/birchdrum/cli.py
+++ b/birchdrum/cli.py
@@ -41,8 +41,13 @@
 @click.option("--hosts", type=click.IntRange(1, 60), default=8, show_default=True)
 @click.option("--customers", type=click.IntRange(1, 200), default=6, show_default=True)
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="Of all that is random.")
+@click.option(
+    "--trouble",
+    type=click.Choice(["pause", "kill", "cut"]),
+    help="Show what a fault looks like: one gateway stands still, is killed, or is cut off.",
+)
 @click.option("--json", "as_json", is_flag=True, help="The summary as JSON, and no table.")
-def demo(span: float | None, as_json: bool, **size: int) -> None:
+def demo(span: float | None, as_json: bool, trouble: str | None, **size: int) -> None:
     """Run a small fleet on loopback: list service, gateways, stand-in hosts, clients under quotas.
 
     Shows a live table of what clients saw, and ends everything that it started. Exit code 0 where requests
@@ -50,7 +55,9 @@
     """
     from . import demo as fleet
 
-    sys.exit(fleet.run(span, as_json, **size))
+    if trouble and size["gateways"] < 2:
+        raise Ended(WRONG, "--trouble needs 2 gateways at least")
+    sys.exit(fleet.run(span, as_json, trouble=trouble, **size))
 
 
 @cli.command()
--- a/birchdrum/commands_lab.py
+++ b/birchdrum/commands_lab.py
@@ -9,7 +9,7 @@
 
 import click
 
-from .command import A_FILE, DONE, FAILED, NOT_DONE, WRONG, Ended
+from .command import A_FILE, DONE, FAILED, NOT_DONE, WRONG, Ended, Time
 
 
 @click.group()
@@ -304,3 +304,23 @@
     ]
     for line in member_study.summary(member_study.run(jobs, out, workers or os.cpu_count() or 1)):
         click.echo(line)
+
+
+@lab.command()
+@click.option("--gateways", type=click.IntRange(2, 100), default=5, show_default=True)
+@click.option("--pairs", "count", type=click.IntRange(1, 100), default=6, show_default=True)
+@click.option("--rate", type=click.FloatRange(1), default=300.0, show_default=True, help="Requests a second.")
+@click.option("--for", "span", type=Time(), default="6s", show_default=True, help="Of load, each time.")
+def cost(gateways: int, count: int, rate: float, span: float) -> None:
+    """Measure what membership costs a gateway: real processes with it and without, in turn."""
+    import asyncio
+
+    from lab.cluster import cost as measured
+    from lab.cluster import fleet, schedule
+
+    wanted = schedule.Schedule(gateways=gateways, hosts=4, customers=0)
+    try:
+        for line in asyncio.run(measured.pairs(wanted, count, rate, span)):
+            click.echo(line)
+    except (fleet.Broken, OSError) as wrong:
+        raise Ended(NOT_DONE, str(wrong)) from None
--- a/birchdrum/demo.py
+++ b/birchdrum/demo.py
@@ -12,6 +12,7 @@
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -19,17 +20,18 @@
 import numpy as np
 import tomlkit
 from prometheus_client.parser import text_string_to_metric_families
-from rich.console import Console, Group
+from rich.console import Console, Group, RenderableType
 from rich.live import Live
 from rich.table import Table
 
 from lab import ports
-from lab.children import Children
+from lab.children import Child, Children
 from lab.clients import Clients, Customer, Front, Kind
 from lab.hosts import Host, Machine
 from lab.registration import Registration
 
 from . import calling
+from .trouble import VICTIM, WORDS, Trouble, told
 
 ZONES = ("building-a", "building-b")
 KINDS = (Kind("reading", "repeatable", 2.0), Kind("order", "by_key", 3.0))
@@ -72,6 +74,8 @@
     began: float = field(default_factory=time.monotonic)
     ended: float = 0.0  # when clients asked no more
     causes: Counter[str] = field(default_factory=Counter)  # of refusals, as the gateways tell
+    trouble: Trouble | None = None
+    states: list[str] = field(default_factory=list)  # of the gateways, by their own word
 
 
 def split(address: str) -> tuple[str, int]:
@@ -83,6 +87,13 @@
 def gateway_file(fleet: Fleet, rank: int) -> str:
     """One gateway's configuration, as a person would write it."""
     own = fleet.gateways[rank]
+    relay = fleet.trouble.datagrams if fleet.trouble else None
+    peers = [
+        gateway.peer
+        if gateway is own or relay is None
+        else "{}:{}".format(*relay.address((own.name, gateway.name)))
+        for gateway in fleet.gateways
+    ]
     return tomlkit.dumps(
         {
             "name": own.name,
@@ -95,7 +106,8 @@
             "fleet": {
                 "rank": rank,
                 "gateways": len(fleet.gateways),
-                "peers": [gateway.peer for gateway in fleet.gateways],
+                "peers": peers,
+                "cluster": "demo",
                 "intake": 100.0,
             },
             "hosts": {"cold_from": 0.5, "warm_within": "3s"},
@@ -120,7 +132,9 @@
     return done
 
 
-async def start(folder: Path, gateways: int, hosts: int, count: int, seed: int) -> Fleet:
+async def start(
+    folder: Path, gateways: int, hosts: int, count: int, seed: int, trouble: Trouble | None
+) -> Fleet:
     """Bring all of it up, the list service first; raises Broken."""
     addresses = iter(ports.free(2 + 4 * gateways))
 
@@ -128,7 +142,11 @@
         return f"127.0.0.1:{next(addresses)}"
 
     own = [Address(f"gw-{rank}", address(), address(), address(), address()) for rank in range(gateways)]
-    fleet = Fleet(folder, Children(folder), own, (address(), address()))
+    # A process that stands still takes no other word.
+    children = Children(folder, signal.SIGKILL if trouble else signal.SIGTERM)
+    fleet = Fleet(folder, children, own, (address(), address()), trouble=trouble)
+    if trouble and trouble.kind == "cut":
+        trouble.relay({gateway.name: split(gateway.peer) for gateway in own}, seed)
     try:
         await _start_parts(fleet, hosts, count, seed)
     except BaseException:
@@ -161,10 +179,13 @@
         if not await registration.register():
             raise Broken(f"{registration.name} can't register: {registration.failures[-1]}")
         registration.start()
-    for rank, gateway in enumerate(fleet.gateways):
-        file = folder / f"{gateway.name}.toml"
+
+    async def begin(rank: int) -> Child:
+        file = folder / f"{fleet.gateways[rank].name}.toml"
         file.write_text(gateway_file(fleet, rank))
-        await children.start(gateway.name, "gateway", file, environment=environment)
+        return await children.start(fleet.gateways[rank].name, "gateway", file, environment=environment)
+
+    begun = [await begin(rank) for rank in range(len(fleet.gateways))]
     (folder / "fleet.toml").write_text(
         tomlkit.dumps({"gateways": {gateway.name: gateway.control for gateway in fleet.gateways}})
     )
@@ -179,6 +200,27 @@
     fleet.clients = Clients(front, customers(count, len(fleet.gateways)), KINDS, parts[hosts])
     fleet.clients.start()
     fleet.began = time.monotonic()
+    if trouble := fleet.trouble:
+        fleet.clients.observer = _watch_losses(trouble)
+        others = [gateway.name for gateway in fleet.gateways]
+        victim = others.pop(VICTIM)
+        work = trouble.play(victim, begun[VICTIM], others, lambda: begin(VICTIM))
+        trouble.task = asyncio.get_running_loop().create_task(work)
+
+
+def _watch_losses(trouble: Trouble) -> Callable[[Customer, str, str, float, int], None]:
+    def seen(customer: Customer, number: str, came: str, took: float, rank: int) -> None:
+        if came == "lost":
+            trouble.lost(rank, took)
+
+    return seen
+
+
+async def look(fleet: Fleet) -> None:
+    """What gateways say of themselves, where something goes wrong with one."""
+    controls = {gateway.name: split(gateway.control) for gateway in fleet.gateways}
+    answers = await calling.each(controls, "HEALTH", LOOK_EVERY / 2)
+    fleet.states = [answer.said or f"no answer: {answer.why}" for answer in answers]
 
 
 async def _wait(fleet: Fleet, ready: Any, what: str) -> None:
@@ -192,7 +234,10 @@
 
 async def broken(fleet: Fleet) -> None:
     """Raise Broken where a process has ended by itself."""
+    expected = fleet.trouble.expected if fleet.trouble else ()
     for child in fleet.children.ended():
+        if child in expected:
+            continue
         raise Broken(await child.why())
 
 
@@ -234,6 +279,8 @@
 async def end(fleet: Fleet) -> None:
     """Clients, then gateways, hosts and the list service: nothing is left."""
     ends = time.monotonic() + END_WITHIN
+    if fleet.trouble:
+        await fleet.trouble.end()
 
     def left() -> float:
         return ends - time.monotonic()
@@ -291,7 +338,8 @@
             }
         )
     total = {name: sum(row[name] for row in rows) for name in ("sent", "served", "refused", "failed", "lost")}
-    return {
+    trouble = {"trouble": fleet.trouble.figures(fleet.began)} if fleet.trouble else {}
+    return trouble | {
         "seconds": round(span, 1),
         "total": total,
         "refused_by_cause": dict(sorted(fleet.causes.items())),
@@ -305,8 +353,9 @@
     total, wrong = figures["total"], []
     if not total["served"] and total["sent"] >= SENT_LEAST:
         wrong.append("no request was served")
-    if total["lost"]:
-        wrong.append(f"{total['lost']} requests were lost")
+    lost = figures["trouble"]["lost_besides"] if "trouble" in figures else total["lost"]
+    if lost:
+        wrong.append(f"{lost} requests were lost")
     over = [row["customer"] for row in figures["customers"] if row["used_of_quota"] > SLACK]
     if over:
         wrong.append(f"beyond their quota: {', '.join(over)}")
@@ -341,7 +390,17 @@
     for row in figures["hosts"]:
         hosts.add_row(*(str(row[name]) for name in columns), f"{row['busy']:.0%}")
     causes = ", ".join(f"{name} {count}" for name, count in figures["refused_by_cause"].items()) or "none"
-    return Group(head, f"refused, as the gateways tell: {causes}", hosts, *_addresses(fleet))
+    parts: list[RenderableType] = []
+    if fleet.trouble:
+        view = Table()
+        for name in ("gateway", "trouble", "what it says of itself"):
+            view.add_column(name)
+        for gateway, state in zip(fleet.gateways, fleet.states, strict=False):
+            mark = fleet.trouble.is_on and gateway.name == fleet.trouble.name
+            word = WORDS[fleet.trouble.kind] if mark else ""
+            view.add_row(gateway.name, word, state, style="red" if mark else None)
+        parts = [view, told(figures["trouble"])]
+    return Group(*parts, head, f"refused, as the gateways tell: {causes}", hosts, *_addresses(fleet))
 
 
 def _addresses(fleet: Fleet) -> list[str]:
@@ -365,6 +424,8 @@
     ]
     causes = ", ".join(f"{name} {count}" for name, count in figures["refused_by_cause"].items())
     lines.append(f"refused by cause, as the gateways tell: {causes or 'none'}")
+    if "trouble" in figures:
+        lines.append(told(figures["trouble"]))
     for row in figures["customers"]:
         lines.append(
             f"customer {row['customer']} ({row['plan']}): asked for {row['asked_of_quota']:.0%} of its quota,"
@@ -379,12 +440,20 @@
 
 
 async def _run(
-    span: float | None, as_json: bool, folder: Path, gateways: int, hosts: int, customers: int, seed: int
+    span: float | None,
+    as_json: bool,
+    folder: Path,
+    gateways: int,
+    hosts: int,
+    customers: int,
+    seed: int,
+    trouble: str | None,
 ) -> int:
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
         loop.add_signal_handler(number, stop.set)
-    starting = loop.create_task(start(folder, gateways, hosts, customers, seed))
+    wrong_thing = Trouble(trouble, span) if trouble else None
+    starting = loop.create_task(start(folder, gateways, hosts, customers, seed, wrong_thing))
     stopping = loop.create_task(stop.wait())
     await asyncio.wait({starting, stopping}, return_when=asyncio.FIRST_COMPLETED)
     if not starting.done():
@@ -409,6 +478,8 @@
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(stop.wait(), max(0.0, left))
                 await broken(fleet)
+                if fleet.trouble:
+                    await look(fleet)
                 fleet.causes = await asyncio.to_thread(refusals, metrics)
                 if view is not None:
                     view.update(picture(fleet), refresh=True)
@@ -427,11 +498,19 @@
     return 1 if wrong else 0
 
 
-def run(span: float | None, as_json: bool, gateways: int, hosts: int, customers: int, seed: int) -> int:
+def run(
+    span: float | None,
+    as_json: bool,
+    gateways: int,
+    hosts: int,
+    customers: int,
+    seed: int,
+    trouble: str | None = None,
+) -> int:
     """Until Ctrl-C, or for so many seconds; the exit code."""
     with tempfile.TemporaryDirectory(prefix="birchdrum-demo-") as folder:
         try:
-            return asyncio.run(_run(span, as_json, Path(folder), gateways, hosts, customers, seed))
+            return asyncio.run(_run(span, as_json, Path(folder), gateways, hosts, customers, seed, trouble))
         except (Broken, OSError) as wrong:
             print(f"birchdrum: {wrong}", file=sys.stderr)
             return 1
--- a/lab/cluster/schedule.py
+++ b/lab/cluster/schedule.py
@@ -65,7 +65,8 @@
     gateways: Many = 5
     hosts: Many = 4
     agents: Count = 0
-    customers: Many = 6
+    customers: Count = 6
+    membership: bool = True
     lasts: Duration = usual(Duration("10s"))
     settle: Duration = usual(Duration("6s"))
     faults: list[Fault] = field(default_factory=list)
--- a/tests/test_birchdrum.py
+++ b/tests/test_birchdrum.py
@@ -283,3 +283,21 @@
         assert alive(str(tmp_path)) == []
     finally:
         process.kill()
+
+
+@pytest.mark.parametrize("trouble", ["pause", "kill", "cut"])
+def test_the_demo_shows_a_fault_and_tells_what_was_lost_by_it(trouble, tmp_path):
+    ended = run("demo", "--for", "9s", "--trouble", trouble, "--json", TMPDIR=str(tmp_path))
+    assert ended.returncode == 0, ended.stderr
+    figures = json.loads(ended.stdout)
+    told = figures["trouble"]
+    assert (told["what"], told["gateway"]) == (trouble, "gw-1")
+    assert 2.5 < told["began_s"] < 5 and 2.5 < told["lasted_s"] < 6
+    assert told["lost_by_it"] + told["lost_besides"] == figures["total"]["lost"]
+    assert told["lost_besides"] == 0
+    assert (told["lost_by_it"] > 0) is (trouble != "cut")
+    assert alive(str(tmp_path)) == []
+
+
+def test_a_trouble_needs_another_gateway():
+    assert refused("demo", "--gateways", "1", "--trouble", "kill") == ["--trouble needs 2 gateways at least"]
