--- a/orchidlane/member_state.py
+++ b/orchidlane/member_state.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from .member_messages import Word
+from .member_messages import Row, Word
 
 SENT_KEPT = 16  # numbers of what was sent to a member, to know what it has not heard
 
@@ -81,6 +81,7 @@
     sent: deque[tuple[int, int]] = field(default_factory=lambda: deque(maxlen=SENT_KEPT))
     reported: int = 0  # highest number of ours that it told to have heard
     differs: bool = False  # its digest was not ours
+    doubt: Row | None = None  # what others hold of it and we don't, to be told to it
     is_former: bool = False  # it spoke as a former self, and must be told
 
 
--- a/orchidlane/membership.py
+++ b/orchidlane/membership.py
@@ -290,6 +290,9 @@
         if to.state in (State.SUSPECT, State.GONE) or to.is_former:
             to.is_former = False
             yield self._row(now, to)
+        elif to.doubt:
+            yield to.doubt
+            to.doubt = None
         yield from self.news.rows(now, to.rank)
         if to.differs:
             for (rank, by), (life, number, down) in self.links.items():
@@ -510,6 +513,9 @@
         if member.there > at + MARGIN and member.state in HERE:
             if self._vouch(now, member):
                 self._spread(now)
+            if row.word is Word.GONE and member.doubt is None:  # only its own word undoes that: it is told
+                member.doubt = row
+                self.urgent[member.rank] = None
             return True
         if member.state is State.UNKNOWN and row.word is Word.GONE:
             member.incarnation, member.since = row.incarnation, at
--- a/saffrongw/members.py
+++ b/saffrongw/members.py
@@ -13,7 +13,7 @@
 from ops import logs
 from orchidlane import interface as api
 from orchidlane import member_state as state
-from orchidlane.membership import STALL, TICK, Membership
+from orchidlane.membership import ASK_AFTER, FAIL_AFTER, PERIOD, STALL, TICK, Membership
 
 from .config import Config
 from .driver import Driver
@@ -22,6 +22,7 @@
 log = logs.get(__name__)
 
 MS = 1_000  # microseconds
+LEAST = 5 * MS  # two times that lie nearer are one
 LIFE_BITS = 10  # random ones below the milliseconds of a life
 
 
@@ -43,6 +44,7 @@
         self.driver, self.peers, self.drain, self.loop = driver, peers, drain, driver.loop
         self.told = self.core.view
         self.timer: asyncio.TimerHandle | None = None
+        self.due = 0  # when it fires
         peers.members, driver.before = self, self.look
 
     def go_on(self) -> None:
@@ -50,6 +52,26 @@
         if self.timer is None:
             self._tick()
 
+    def _due(self, now: int) -> int:
+        """When there is something to do at the latest: a process at rest wakes for its own probes alone."""
+        core = self.core
+        if core.left:
+            return now + PERIOD
+        if core.suspects or core.urgent:
+            return now + TICK
+        looks = [probe.sent + (FAIL_AFTER if probe.asked else ASK_AFTER) for probe in core.probes.values()]
+        return min(core.next_probe, now + PERIOD, *looks, *(due for due, _ in core.relaying.values()))
+
+    def _wake(self, now: int) -> None:
+        """The one timer, set anew where something is due at another time."""
+        due = max(now + LEAST, self._due(now))
+        if self.timer and abs(due - self.due) < LEAST:
+            return
+        if self.timer:
+            self.timer.cancel()
+        self.due = due
+        self.timer = self.loop.call_later((due - now) / 1_000_000, self._tick)
+
     def stop(self) -> None:
         """The socket is another's: say nothing more."""
         if self.timer:
@@ -57,11 +79,13 @@
             self.timer = None
 
     def _tick(self) -> None:
-        self.timer = self.loop.call_later(TICK / 1_000_000, self._tick)
-        self._carry_out(self.core.tick(clock()))
+        now, self.timer = clock(), None
+        self._carry_out(self.core.tick(now))
         for name, count in self.core.counts.items():
             self.driver.stats[f"member_{name}"] += count
         self.core.counts.clear()
+        if not self.core.yielded:
+            self._wake(now)
 
     def look(self) -> api.MembersChanged | None:
         """Before a decision: did we stand still? Then it must know."""
@@ -70,7 +94,10 @@
 
     def heard(self, rank: int, body: bytes) -> None:
         """A datagram of membership's kind, from this rank's address."""
-        self._carry_out(self.core.heard(clock(), rank, body))
+        now = clock()
+        self._carry_out(self.core.heard(now, rank, body))
+        if self.timer:
+            self._wake(now)
 
     def leave(self) -> None:
         """This process ends on purpose."""
