The watch on discovery has one timer in every state, so that it never ends for good

Seen by reading and forced by a test: a connection that came up while the loop stood still until after the time for connecting was closed by the loop without a word to its protocol (its task was cancelled after connection_made). The watch held a dead exchange, its silence timer aborted a transport that tells nothing any more, and no call was made again for the life of the process. Ruled out as causes of the same: a reset, an end, an odd answer and a move at any point (random events below).

Answers that tell no length were never heard: their end was not passed to the parser. An answer without an end took memory without a bound.

The state was spread over a task and two timers, each of which could end it. Now a watch is connecting, has a call out, has put it off or is between connections, each with the one timer that ends it; a connection concerns it only while it is the one held, and the time for connecting is the watch's own. The next try begins 4 s after the last answer at the latest, once; after that the pace of refusals holds as before.

tests/test_watch.py: 800 random sequences of 60 events in virtual time; the clock of 6 s under refusals; answers cut at each byte by an end or a reset; on sockets, the crossing at the connect. Against the revision before, the three on sockets fail; five planted defects (no clock, a connection given up taken all the same, a call without a timer, no bound, a lost connection forgotten) fail one test or more each. test_news.py asked for a timer that is gone: it now waits for the state itself.

--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -17,6 +17,9 @@
 PATH = "/registry/instances"
 WAIT = 2.0  # seconds that a call may wait for news: until then nothing tells a quiet agent from a hung one
 ANSWER_WITHIN = 1.0  # seconds beyond that: a silent agent is tried anew
+TOLD_WITHIN = 6.0  # seconds after which what discovery has to tell counts as told, whether it came or not
+CALLED_WITHIN = TOLD_WITHIN - 2.0  # after an answer the next try begins: it has to connect and be answered
+LIST_MOST = 4 * 1024 * 1024  # bytes of an answer: guards memory against one that never ends
 BACK_OFF, BACK_OFF_MOST = 0.05, 1.0  # seconds before connecting again, doubled with each failure
 CONNECT_WITHIN = 1.0
 # Discovery may be overbooked: then calls wait in turn there, and too many of them are all in vain. A watch
@@ -24,7 +27,10 @@
 PACE, PACE_MOST = 0.5, 8.0  # seconds between two calls after it refused one, doubled with each more
 RELIEF = 0.7  # of the pace that is left after an answer, for the next time
 CALLS_APART = 0.15  # seconds on average between the first calls of a fleet that starts together
-PATIENCE = 3.0  # times as long an answer may take then
+PATIENCE = 3.0  # times as long an answer may take then, within CALLED_WITHIN
+
+# What an answer that makes no sense raises.
+ODD = (ValueError, KeyError, TypeError, AttributeError, ArithmeticError, RecursionError, h11.ProtocolError)
 
 
 def span_of(gateways: int, asked: bool) -> float:
@@ -33,17 +39,35 @@
 
 
 class Exchange(asyncio.Protocol):
-    """One HTTP connection with one call out at a time."""
+    """One HTTP connection with one call out at a time; it concerns its watch as long as that holds it."""
 
     def __init__(self, watch: Watch) -> None:
         self.watch, self.http = watch, h11.Connection(h11.CLIENT)
         self.status, self.body = 0, bytearray()
+        self.tells_length = True
         self.transport: asyncio.Transport | None = None
+        self.task = watch.loop.create_task(self._open(*watch.address))
+
+    async def _open(self, host: str, port: int) -> None:
+        try:
+            await self.watch.loop.create_connection(lambda: self, host, port)
+        except OSError as wrong:
+            self.watch.unreachable(self, str(wrong))
+
+    def close(self) -> None:
+        """Drop it, whatever it is doing; the watch hears nothing more of it."""
+        if self.transport:
+            self.transport.abort()
+        else:
+            self.task.cancel()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Connected: the first call goes out."""
         self.transport = transport
-        self.watch.connected(self)
+        if self.watch.exchange is self:
+            self.watch.connected()
+        else:  # it came up in the moment in which it was given up
+            transport.abort()
 
     def call(self, target: str, host: str) -> None:
         """Send one request."""
@@ -51,36 +75,44 @@
         self.transport.write(self.http.send(request) + self.http.send(h11.EndOfMessage()))
 
     def data_received(self, data: bytes) -> None:
-        """An answer, or a part of it."""
+        """An answer, or a part of it; no bytes: the agent sends nothing more."""
         try:
             self.http.receive_data(data)
-            while (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
+            while self.watch.exchange is self:
+                event = self.http.next_event()
+                if event in (h11.NEED_DATA, h11.PAUSED) or isinstance(event, h11.ConnectionClosed):
+                    break
                 if isinstance(event, h11.Response):
                     self.status = event.status_code
+                    names = {name for name, _ in event.headers}
+                    self.tells_length = bool(names & {b"content-length", b"transfer-encoding"})
                 elif isinstance(event, h11.Data):
                     self.body += event.data
+                    if len(self.body) > LIST_MOST:
+                        raise ValueError("answer too long")
                 elif isinstance(event, h11.EndOfMessage):
-                    body, self.body = bytes(self.body), bytearray()
-                    if self.status != 200 and self.status < 500:
-                        raise ValueError(f"answered {self.status}")
-                    listed = self.watch.parse(body) if self.status == 200 else None
-                    again = self.http.their_state is h11.DONE  # else the agent closes after this answer
-                    if again:
-                        self.http.start_next_cycle()
-                    if listed is None:
-                        log.warning("discovery_refused", status=self.status, address=self.watch.address)
-                        self.watch.refused(again)
-                    else:
-                        self.watch.answered(listed, again)
-                    if not again:
-                        self.transport.abort()
-                        break
-                elif isinstance(event, h11.ConnectionClosed):
-                    break
-        except (ValueError, KeyError, TypeError, AttributeError, h11.ProtocolError) as wrong:
-            log.warning("discovery_failed", error=wrong, address=self.watch.address)
-            self.watch.version = None  # what it holds is in doubt: the whole list
-            self.transport.abort()
+                    self._whole()
+        except ODD as wrong:
+            self.watch.failed(self, wrong)
+
+    def _whole(self) -> None:
+        body, self.body = bytes(self.body), bytearray()
+        if self.status != 200 and self.status < 500:
+            raise ValueError(f"answered {self.status}")
+        listed = self.watch.parse(body) if self.status == 200 else None
+        again = self.http.their_state is h11.DONE  # else the agent closes after this answer
+        if again:
+            self.http.start_next_cycle()
+        if listed is None:
+            log.warning("discovery_refused", status=self.status, address=self.watch.address)
+            self.watch.refused(again)
+        else:
+            self.watch.answered(listed, again)
+
+    def eof_received(self) -> None:
+        """The end of an answer that tells no length. A reset is none: nothing of it counts then."""
+        if self.http.their_state is h11.SEND_BODY and not self.tells_length:
+            self.data_received(b"")
 
     def connection_lost(self, error: Exception | None) -> None:
         """Closed by the agent, or by us as it made no sense."""
@@ -88,7 +120,12 @@
 
 
 class Watch:
-    """Keeps the list of hosts up to date for as long as the gateway runs."""
+    """Keeps the list of hosts up to date for as long as the gateway runs.
+
+    From its start on it is in one of four states, and each of them has its one timer: between two connections
+    (``exchange`` is None), connecting, with a call out, or with the next one put off. What ends a state early
+    passes through ``_wait`` as its timer does, so that there is always a call out or a time for the next one.
+    """
 
     def __init__(
         self,
@@ -109,50 +146,69 @@
         self.spread = spread  # seconds that the first calls of the whole fleet take together
         self.back_off = BACK_OFF
         self.pace = 0.0  # seconds to the next call where discovery refuses one; 0: it is not overbooked
+        self.due = 0.0  # by then the next try begins: what is missed counts as told soon after
         self.exchange: Exchange | None = None
         self.reached: bool | None = None  # whether the last try to connect came up; None: there was none
-        self.silence: asyncio.TimerHandle | None = None
-        self.task: asyncio.Task | None = None
-        self.later: asyncio.TimerHandle | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    # -- states ---------------------------------------------------------------------------------------------
 
     def begin(self) -> None:
         """Start, each gateway of a fleet in its own moment: until then the list that it was given holds."""
-        self.later = self.loop.call_later(self.spread * self.draw(), self.start)
+        self._wait(self.spread * self.draw(), self.start)
 
     def start(self) -> None:
         """Connect and call."""
-        self.task = self.loop.create_task(self._connect())
+        self.drop()
+        self._wait(CONNECT_WITHIN, self._too_late)
+        self.exchange = Exchange(self)
 
     def move(self, address: Address) -> None:
         """Discovery is at this address from now on: whatever goes on with another one is dropped."""
         if address == self.address:
             return
         self.address, self.version, self.back_off, self.pace = address, None, BACK_OFF, 0.0
-        for pending in (self.task, self.later, self.silence):
-            if pending:
-                pending.cancel()
-        if self.exchange:
-            exchange, self.exchange = self.exchange, None
-            exchange.transport.abort()
+        self.due = 0.0
         self.start()
 
-    async def _connect(self) -> None:
-        try:
-            async with asyncio.timeout(CONNECT_WITHIN):
-                await self.loop.create_connection(lambda: Exchange(self), *self.address)
-        except OSError as wrong:
-            if self.exchange is None:  # it may have come up in the last moment
-                if self.reached is not False:  # once, until it is there again
-                    why = str(wrong) or "no answer"
-                    log.warning("discovery_unreachable", address=self.address, error=why)
-                self.reached = False
-                self._later()
+    def drop(self) -> None:
+        """Have nothing more to do with the connection there is."""
+        exchange, self.exchange = self.exchange, None
+        if exchange:
+            exchange.close()
+
+    def _wait(self, span: float, then: Callable[[], None]) -> None:
+        """Every state begins here: it ends by what happens, or else with its time."""
+        if self.timer:
+            self.timer.cancel()
+        self.timer = self.loop.call_later(span, then)
 
     def _later(self) -> None:
+        """Connect anew after a short while."""
+        self.drop()
         span = max(self.back_off, self.pace)
-        self.later = self.loop.call_later(span * (1 + self.draw()) / 2, self.start)
+        self._wait(self._in_time(span * (1 + self.draw()) / 2, BACK_OFF), self.start)
         self.back_off = min(BACK_OFF_MOST, 2 * self.back_off)
 
+    def _in_time(self, span: float, least: float = 0.0) -> float:
+        """A span, cut so that the next try comes before what it brings counts as told; once that time is
+        past, nothing is won by haste."""
+        left = self.due - self.loop.time() if self.due else 0.0
+        return min(span, max(least, left)) if left > 0 else span
+
+    # -- what happens ---------------------------------------------------------------------------------------
+
+    def _too_late(self) -> None:
+        self.unreachable(self.exchange, "no answer")
+
+    def unreachable(self, exchange: Exchange, why: str) -> None:
+        """It did not come up."""
+        if exchange is self.exchange:
+            if self.reached is not False:  # once, until it is there again
+                log.warning("discovery_unreachable", address=self.address, error=why)
+            self.reached = False
+            self._later()
+
     def strained(self) -> None:
         """It refused a call, or left it without an answer: fewer calls from now on."""
         self.pace = min(max(PACE_MOST, 2 * self.spread), max(PACE, self.spread, 2 * self.pace))
@@ -160,28 +216,28 @@
     def refused(self, again: bool) -> None:
         """It is overbooked: the same call later, on the same connection where that is kept."""
         self.strained()
-        self.silence.cancel()
         if again:
-            self.later = self.loop.call_later(self.pace * (1 + self.draw()) / 2, self._ask)
+            self._wait(self._in_time(self.pace * (1 + self.draw()) / 2), self._ask)
         else:
-            self.exchange.transport.abort()
+            self._later()
 
-    def connected(self, exchange: Exchange) -> None:
-        """A new connection: the first call."""
+    def connected(self) -> None:
+        """The connection is up: the first call."""
         if self.reached is False:
             log.info("discovery_reached", address=self.address)
-        self.exchange, self.reached = exchange, True
+        self.reached = True
         self._ask()
 
     def _ask(self) -> None:
         """What is newer than the list held, waited for at discovery; without one the whole list."""
-        if not self.exchange or self.exchange.transport.is_closing():
-            return
-        if self.version is None:
-            self._call(PATH, self.answer_within)
-        else:
+        target, within = PATH, self.answer_within
+        if self.version is not None:
             target = f"{PATH}?index={self.version}&wait={int(self.wait * 1000)}"
-            self._call(target, self.wait + self.answer_within)
+            within += self.wait
+        if self.pace:
+            within = max(within, self._in_time(within * PATIENCE) - BACK_OFF)
+        self._wait(within, self._silent)
+        self.exchange.call(target, ":".join(map(str, self.address)))
 
     def parse(self, body: bytes) -> HostList:
         """An answer as a list; raises where it is none."""
@@ -191,31 +247,32 @@
         """Call again at once where the connection is kept, so that the watch stands, then pass on what was
         told. A version that went back is of another list than ours."""
         self.back_off, self.pace = BACK_OFF, self.pace * RELIEF if self.pace > PACE else 0.0
+        self.due = self.loop.time() + CALLED_WITHIN
         back = not listed.whole and self.version is not None and listed.version < self.version
         self.version = None if back else listed.version
         if again:
             self._ask()
+        else:
+            self._later()
         if listed.odd:
             log.warning("discovery_odd_entries", left_out=listed.odd, version=listed.version)
         if listed.whole or listed.hosts:
             self.told(listed)
 
+    def failed(self, exchange: Exchange, wrong: Exception) -> None:
+        """An answer made no sense: what is held is in doubt, the whole list is asked for."""
+        if exchange is self.exchange:
+            log.warning("discovery_failed", error=wrong, address=self.address)
+            self.version = None
+            self._later()
+
     def lost(self, exchange: Exchange) -> None:
         """The connection is gone: a new one after a short while."""
         if exchange is self.exchange:
-            self.exchange = None
-            for pending in (self.silence, self.later):
-                if pending:
-                    pending.cancel()
             self._later()
 
     def _silent(self) -> None:
         if self.pace:  # else a call may be lost once
             self.strained()
-        self.exchange.transport.abort()
-
-    def _call(self, target: str, within: float) -> None:
-        if self.silence:
-            self.silence.cancel()
-        self.silence = self.loop.call_later(within * PATIENCE if self.pace else within, self._silent)
-        self.exchange.call(target, ":".join(map(str, self.address)))
+        log.warning("discovery_silent", address=self.address)
+        self._later()
