A host connection is looked at before it is used, rests after an answer, and ends exactly once

A connection is now opening, busy, idle or closed, and counted until it is closed. The time for connecting is its own timer, and one that comes up after it is dropped. Send names the time after which it may not leave.

Ruled out: resets between the last write and the loop's next turn (writes are tried at once, and what is left in the loop's buffer is not whole), answers cut at each byte by an end or a reset, moves, bans and drains while a connection opens (table in the test; all were sound before).

--- a/orchidlane/interface.py
+++ b/orchidlane/interface.py
@@ -308,11 +308,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Begin an attempt; give_up_at 0 leaves it to the client's patience."""
+    """Begin an attempt; give_up_at 0 leaves it to the client's patience. Where it waits for a connection it
+    may not be sent after send_by (0: no such time)."""
 
     request: int
     server: Server
     give_up_at: int
+    send_by: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -190,7 +190,7 @@
         cls = request.cls
         if not ran or cls.effect is Effect.SAFE:
             return True
-        if cls.effect is Effect.UNSAFE or self.now >= ran[0].sent + cls.window - LEAVE:
+        if cls.effect is Effect.UNSAFE or self.now >= request.window_ends - LEAVE:
             return False
         return host.shares(cls.group) == ran[0].host.shares(cls.group)
 
@@ -227,9 +227,10 @@
         if not host.out:
             host.kept = host.kept if self.now - host.active < KEPT_FOR else 0
             host.active = self.now
+        by = request.window_ends and request.window_ends - LEAVE  # it may wait for its connection
         self.begin(request, Attempt(host, self.now, host.out + BASE, len(self.attempts)))
         request.lot = self.random.random()
-        self.actions.append(api.Send(request.event.request, host.entry.server, request.until))
+        self.actions.append(api.Send(request.event.request, host.entry.server, request.until, by))
 
     # -- what becomes of it -------------------------------------------------------------------------------
 
--- a/orchidlane/state.py
+++ b/orchidlane/state.py
@@ -141,6 +141,13 @@
     told: bool = False  # it has answered
     attempts: list[Attempt] = field(default_factory=list)
 
+    @property
+    def window_ends(self) -> int:
+        """When hosts may have forgotten the first attempt that may have run; 0: none may, or it may always
+        be repeated."""
+        ran = next((attempt for attempt in self.attempts if attempt.ran), None)
+        return ran.sent + self.cls.window if ran and self.cls.effect is api.Effect.KEYED else 0
+
     @property
     def out(self) -> list[Attempt]:
         """Those of its attempts that have no outcome yet."""
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -99,6 +99,7 @@
     server: api.Server
     sent: int
     give_up_at: int
+    send_by: int = 0  # clock time after which it may not be sent any more; 0: there is none
     timer: asyncio.TimerHandle | None = None
     link: object = None  # where hosts.py keeps what carries it
     whole: bool = False  # its last byte has left: from then on it may run
@@ -223,6 +224,8 @@
                 self.heir.client_gone(call)
             else:
                 self.feed(api.ClientGone(call.event.request))
+            for attempt in call.attempts:  # what has not left whole must not leave any more
+                self._withdraw(attempt)
 
     def attempt_ended(
         self,
@@ -337,11 +340,15 @@
         self.frozen = True
 
     def thaw(self) -> None:
-        """Nobody took over: decide on what has come meanwhile."""
+        """Nobody took over: decide on what has come meanwhile, but for requests that are over by now."""
         self.frozen = False
         waiting, self.pending = self.pending, deque()
+        over = {
+            e.request for e in waiting if isinstance(e, api.RequestArrived) and e.request not in self.calls
+        }
         for event in waiting:
-            self.feed(event)
+            if not (isinstance(event, api.RequestArrived | api.ClientGone) and event.request in over):
+                self.feed(event)
 
     def hand_on(self, heir: Heir) -> None:
         """Another process owns the counts: it decides on all that has not been sent to a host yet."""
@@ -382,8 +389,10 @@
             return
         now = self.clock()
         give_up_at = min(action.give_up_at or call.until, call.until)
-        attempt = Attempt(call, len(call.attempts), action.server, now, give_up_at)
+        attempt = Attempt(call, len(call.attempts), action.server, now, give_up_at, action.send_by)
         call.attempts.append(attempt)
+        if action.send_by:
+            self._at(action.send_by, self._withdraw, attempt)
         if give_up_at < call.until:  # else the call's own timer ends it: one less for every attempt
             attempt.timer = self._at(give_up_at, self._timed_out, attempt)
         if self.heir:
@@ -455,6 +464,12 @@
         else:  # a Cancel of what is still out may follow: kept for the length of one turn of the loop
             self.loop.call_soon(self.calls.pop, call.event.request, None)
 
+    def _withdraw(self, attempt: Attempt) -> None:
+        """Not to be sent, where its last byte has not left: so it never runs."""
+        if not (attempt.ended or attempt.whole):
+            self.hosts.give_up(attempt)
+            self.attempt_ended(attempt, api.Outcome.NOT_CONNECTED)
+
     def _timed_out(self, attempt: Attempt) -> None:
         """Nothing came in time. What never left whole has certainly not run."""
         if not attempt.ended:
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from collections import deque
+from enum import Enum, auto
 
 import hiredis
 
@@ -23,6 +25,9 @@
 SILENT_FOR = 10.0  # seconds that a host may leave a large answer without a byte
 IDLE_PART = 0.6  # of the hosts' idle limit: ours are closed clearly earlier, so none meets a closing one
 SWEEPS = 10  # looks at idle connections in that time
+# Seconds that a connection rests after an answer: a second one may come some milliseconds late, and would be
+# taken for the answer to another request.
+REST = 0.03
 MS = 1_000
 
 
@@ -50,11 +55,20 @@
     return (hiredis.pack_command((*words, *body)),)
 
 
+class Stage(Enum):
+    """What a connection is doing; it is counted among the sockets until it is CLOSED, once."""
+
+    OPENING = auto()  # not up yet: its timer ends that
+    BUSY = auto()  # with an attempt, or the rest of a large answer
+    IDLE = auto()
+    CLOSED = auto()
+
+
 class Connection(asyncio.Protocol):
     """One connection to a host: idle, or with one attempt on it."""
 
     def __init__(self, pool: Pool) -> None:
-        self.pool = pool
+        self.pool, self.stage = pool, Stage.OPENING
         self.transport: asyncio.Transport | None = None
         self.reader = Reader(VALUE_MOST, large_at=0)
         self.attempt: Attempt | None = None
@@ -64,14 +78,36 @@
         self.heard = 0.0  # when it last sent a piece
         self.received = 0  # bytes of the answer
         self.idle_since = 0.0
-        self.counted = False
+        # Not the loop's own time-out: where the loop is behind, that closes a connection which has come up.
+        self.timer = pool.hosts.loop.call_later(pool.hosts.connect_timeout, pool.failed, self)
+        self.task = pool.hosts.loop.create_task(self._open())
+        pool.hosts.sockets += 1  # here, not in the task: a burst comes before any of them has run
+
+    async def _open(self) -> None:
+        try:
+            await self.pool.hosts.loop.create_connection(lambda: self, *self.pool.address)
+        except OSError:  # refused, or unreachable
+            self.pool.failed(self)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """It is up; with a high-water mark of 0 the loop says when the last byte has left."""
+        self.transport = transport
+        if self.stage is Stage.CLOSED:  # it came up in the moment in which it was given up
+            transport.abort()
+            return
+        self.timer.cancel()
         transport.set_write_buffer_limits(high=0)
         transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE_MOST)
-        self.transport, self.counted = transport, True
-        self.pool.ready(self)
+        self.pool.up(self)
+
+    def is_clean(self) -> bool:
+        """Whether its socket holds nothing to read: an end, a reset or half a line may have come while nobody
+        looked, and what is in it belongs to no request of ours."""
+        if self.transport.is_closing():
+            return False
+        look = select.poll()
+        look.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+        return not look.poll(0)
 
     def begin(self, attempt: Attempt, now: int) -> None:
         """Write an attempt's request."""
@@ -90,7 +126,14 @@
 
     def data_received(self, data: bytes) -> None:
         """The answer, or a part of it."""
-        self.pool.hosts.driver.stats["host_bytes_in"] += len(data)
+        if self.stage is Stage.CLOSED:
+            return
+        hosts = self.pool.hosts
+        hosts.driver.stats["host_bytes_in"] += len(data)
+        if self.stage is Stage.IDLE:
+            hosts.driver.stats["host_unasked"] += 1
+            self.close()  # a late second answer, for one
+            return
         self.received += len(data)
         try:
             self.reader.feed(data)
@@ -104,18 +147,19 @@
                 raise hiredis.ProtocolError("answer too long")
         except hiredis.ProtocolError:
             reply, odd = None, True
-        attempt, streamed = self.attempt, self in self.pool.hosts.streams
-        if (attempt or streamed) and reply is False:
+        attempt = self.attempt
+        early = attempt is not None and not attempt.whole
+        if reply is False and not early:
             return
         self.reply = False
-        if odd or not (streamed or (attempt and attempt.whole)):
-            self.abort()  # an answer to nothing, or before the end: what belongs to what is lost
+        if odd or early:  # what belongs to what is lost
+            self.close()
         else:
             self.attempt = None
-            self.pool.hosts.streams.pop(self, None)
-            self.pool.ready(self)
+            hosts.streams.pop(self, None)
+            self.pool.free(self)
         if attempt:
-            self.pool.hosts.replied(attempt, reply)
+            hosts.replied(attempt, reply, odd)
 
     def _stream(self) -> None:
         """Pass on what has come of a large value."""
@@ -151,89 +195,119 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """The host closed it or the network broke it."""
-        self._count_out()
-        self._break_off()
-        attempt, self.attempt = self.attempt, None
+        attempt = self.attempt
+        self.close()
         if attempt:
             # Guards rule 2: a reset may come after the host ran it, unless the last byte never left.
             outcome = api.Outcome.BROKEN if attempt.whole else api.Outcome.NOT_CONNECTED
             self.pool.hosts.driver.attempt_ended(attempt, outcome)
 
     def abort(self) -> None:
-        """Close at once; the attempt on it is told by whoever gave it up."""
-        self.attempt = None
-        self._count_out()
-        self.transport.abort()
-        self._break_off()
-
-    def _break_off(self) -> None:
-        """What is out of a large answer cannot be taken back."""
+        """Nobody wants the rest of a large answer."""
+        self.close()
+
+    def close(self) -> None:
+        """End it at once, whatever it is doing; the attempt on it is told by whoever gave it up."""
+        if self.stage is Stage.CLOSED:
+            return
+        if self.stage is Stage.IDLE:
+            self.pool.idle.remove(self)
+        self.stage, self.attempt = Stage.CLOSED, None
+        self.pool.hosts.sockets -= 1
+        self.timer.cancel()
+        if self.transport:
+            self.transport.abort()
+        else:
+            self.task.cancel()
+        # What is out of a large answer cannot be taken back.
         self.pool.hosts.streams.pop(self, None)
         sink, self.sink = self.sink, None
         if sink:
             sink.fail()
 
-    def _count_out(self) -> None:
-        if self.counted:
-            self.counted = False
-            self.pool.hosts.sockets -= 1
-            if self in self.pool.idle:
-                self.pool.idle.remove(self)
-
 
 class Pool:
     """The connections to one host; the one used last is used first, so that surplus ones grow idle."""
 
     def __init__(self, hosts: Hosts, address: Address) -> None:
         self.hosts, self.address = hosts, address
-        self.idle: list[Connection] = []
-        self.opening: set[asyncio.Task] = set()
+        self.idle: list[Connection] = []  # the one longest idle stands first
         self.waiting: deque[Attempt] = deque()
         self.retired = False
 
     def send(self, attempt: Attempt) -> None:
         """Use an idle connection, or open one."""
-        while self.idle:
-            connection = self.idle.pop()
-            if not connection.transport.is_closing():
-                connection.begin(attempt, self.hosts.driver.clock())
-                return
+        if connection := self._rested():
+            connection.begin(attempt, self.hosts.driver.clock())
+            return
         if not self.hosts.make_room():
             self.hosts.driver.attempt_ended(attempt, api.Outcome.NOT_CONNECTED)
             return
-        self.hosts.sockets += 1  # here, not in the task: a burst comes before any of them has run
         self.waiting.append(attempt)
         attempt.link = self
-        task = self.hosts.loop.create_task(self._open())
-        self.opening.add(task)
-        task.add_done_callback(self.opening.discard)
-
-    async def _open(self) -> None:
-        """One new connection; if it never comes up, the attempt that waits longest never ran."""
-        connection = Connection(self)
-        try:
-            async with asyncio.timeout(self.hosts.connect_timeout):
-                await self.hosts.loop.create_connection(lambda: connection, *self.address)
-        except OSError:  # refused, unreachable, or out of time
-            if connection.transport is None:
-                self.hosts.sockets -= 1
-                if self.waiting:
-                    self.hosts.driver.attempt_ended(self.waiting.popleft(), api.Outcome.NOT_CONNECTED)
-
-    def ready(self, connection: Connection) -> None:
-        """It is up or free again: the next attempt that waits takes it, else it is idle."""
-        if self.waiting:
-            connection.begin(self.waiting.popleft(), self.hosts.driver.clock())
-        elif self.retired:
-            connection.abort()
+        Connection(self)
+        if self.idle:  # one that rests may be sooner
+            self.hosts.loop.call_later(REST, self._serve)
+
+    def _rested(self) -> Connection | None:
+        """The connection used last of those that have rested."""
+        before = self.hosts.loop.time() - REST
+        for connection in self.idle[::-1]:
+            if connection.idle_since > before:
+                continue
+            if connection.is_clean():
+                self.idle.remove(connection)
+                connection.stage = Stage.BUSY
+                return connection
+            self.hosts.driver.stats["host_stale"] += 1
+            connection.close()
+        return None
+
+    def failed(self, connection: Connection) -> None:
+        """It never came up: the attempt that waits longest never ran."""
+        if connection.stage is Stage.OPENING:
+            connection.close()
+            if self.waiting:
+                self.hosts.driver.attempt_ended(self.waiting.popleft(), api.Outcome.NOT_CONNECTED)
+
+    def up(self, connection: Connection) -> None:
+        """It is up: the attempt that waits longest takes it."""
+        connection.stage = Stage.BUSY
+        if attempt := self._next():
+            connection.begin(attempt, self.hosts.driver.clock())
         else:
-            connection.idle_since = self.hosts.loop.time()
-            self.idle.append(connection)
+            self.free(connection)
+
+    def free(self, connection: Connection) -> None:
+        """Nothing is on it now."""
+        connection.stage, connection.idle_since = Stage.IDLE, self.hosts.loop.time()
+        self.idle.append(connection)
+        if self.retired:
+            connection.close()
+        elif self.waiting:
+            self.hosts.loop.call_later(REST, self._serve)
+
+    def _serve(self) -> None:
+        """Attempts that still wait take connections that have rested."""
+        while self.waiting and (connection := self._rested()):
+            if attempt := self._next():
+                connection.begin(attempt, self.hosts.driver.clock())
+            else:
+                self.free(connection)
+
+    def _next(self) -> Attempt | None:
+        """The attempt that waits longest. Guards rule 2: one that may not be sent any more never was."""
+        while self.waiting:
+            attempt = self.waiting.popleft()
+            if not attempt.send_by or self.hosts.driver.clock() < attempt.send_by:
+                return attempt
+            self.hosts.driver.attempt_ended(attempt, api.Outcome.NOT_CONNECTED)
+        return None
 
     def close_idle(self, before: float) -> None:
         """Close what has been idle since before then; the oldest stand first."""
         while self.idle and self.idle[0].idle_since <= before:
-            self.idle[0].abort()
+            self.idle[0].close()
 
     def stop_waiting(self) -> list[Attempt]:
         """Nothing new is sent there: what waits for a connection has never left."""
@@ -304,19 +378,22 @@
     def give_up(self, attempt: Attempt) -> None:
         """Stop waiting for an attempt; closing its connection tells the host."""
         if isinstance(attempt.link, Connection):
-            attempt.link.abort()
+            attempt.link.close()
         elif isinstance(attempt.link, Pool) and attempt in attempt.link.waiting:
             attempt.link.waiting.remove(attempt)
 
-    def replied(self, attempt: Attempt, reply: object) -> None:
-        """Translate a host's answer."""
+    def replied(self, attempt: Attempt, reply: object, odd: bool) -> None:
+        """Translate a host's answer; odd: more came with it than one answer."""
         ended = self.driver.attempt_ended
+        line = str(reply).split(" ") if isinstance(reply, hiredis.ReplyError) else [""]
+        if not attempt.whole:  # it can't be the answer to what the host has not got: but it may turn it away
+            ended(attempt, api.Outcome.FULL if line[0] == "BUSY" else api.Outcome.NOT_CONNECTED)
+            return
         if isinstance(reply, list) and reply and isinstance(reply[0], bytes):
             report = parse_report(reply[2] if len(reply) > 2 else None, self.report_names)
             ended(attempt, api.Outcome.SERVED, b"$%d\r\n%b\r\n" % (len(reply[0]), reply[0]), report)
             return
-        line = str(reply).split(" ") if isinstance(reply, hiredis.ReplyError) else [""]
-        if line[0] == "BUSY":
+        if line[0] == "BUSY" and not odd:  # else whether it has run can't be told
             ended(attempt, api.Outcome.FULL)
             return
         ended(attempt, api.Outcome.ERROR, None, parse_report(line[-1].encode(), self.report_names))
@@ -343,7 +420,7 @@
                 (p for p in self.pools.values() if p.idle), key=lambda p: p.idle[0].idle_since, default=None
             )
             if oldest:
-                oldest.idle[0].abort()
+                oldest.idle[0].close()
         return self.sockets < self.most
 
     def _sweep(self) -> None:
@@ -356,5 +433,5 @@
         """Guards against a host that stops within a large answer: no deadline runs any more."""
         before = self.loop.time() - SILENT_FOR
         for connection in [c for c in self.streams if not c.paused and c.heard < before]:
-            connection.abort()
+            connection.close()
         self.loop.call_later(SILENT_FOR / SWEEPS, self._look)
