Connections to clients are half-closed and read on before they end; who left is seen wherever it waits

A request that crossed the close reset the connection, which may take the answer before it along; commands of one piece behind one that was answered at once were sent on after the close, and lost. - Server.close reset what waited in the accept queue, with its requests. - drain ended while a transport still held written bytes, and had no end of its own: a connection that always had a request open was served up to SIGKILL, where what came more than 0.7 s after SIGTERM is lost. - A client that left while nothing was read from it (pipeline full, an upload without room, answers unread) was not seen to go until its deadline, and its requests were sent on.

A connection is open, at its last answers, or half-closed: then our end is sent, what still comes is read away and never answered, and it ends once the client ends, or after a second. Half-closed ones hold a descriptor; with the open ones there are no more than before. The listener's queue is accepted to its end. After 0.65 s of a drain requests are refused, and it waits for every transport, up to the last deadline and UNREAD_FOR. Who is not read from is polled for its end five times a second. What has not left whole is withdrawn when its client goes.

--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -3,22 +3,29 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import fcntl
 import math
+import os
 import re
+import select
 import socket
 import termios
 from collections import deque
 from dataclasses import dataclass, field
+from enum import Enum, auto
 
 import hiredis
 
+from ops import logs
 from orchidlane.interface import Effect
 
 from .config import Config
 from .driver import Body, Call, Driver, Source, Terms
 from .resp import CRLF, LARGE_MOST, MARK, VALUE_MOST, Large, Reader
 
+log = logs.get(__name__)
+
 UNFINISHED_MOST = 2 * VALUE_MOST  # bytes of one command: a body and little else
 UNFINISHED_ALL = 64 * VALUE_MOST  # bytes of all clients' unfinished commands, to bound memory
 PIPELINE_MOST = 64  # requests open on one connection: no more is read from it meanwhile
@@ -31,18 +38,27 @@
 PIECE_MOST = 256 * 1024  # bytes that wait in a socket: bounds a piece
 BODIES_PART = 1 / 5  # of the memory: what all large bodies that are kept may take
 ROOM_WITHIN = 3.0  # seconds that a client waits for room for its large body
-LINGER = 1.0  # seconds in which what a client still sends is read away, so that it gets its error line
+LINGER = 1.0  # seconds in which what a client still sends is read away, so that it gets what it was sent
 LOOK_EVERY = 0.2  # seconds between two looks at what is overdue
 UNFINISHED_FOR = 1.0  # seconds that a client stuck within a command may hold up the end
 SEEN_WITHIN = 0.6  # seconds after which the front has seen that we leave, and sends no new connections
 GONE_AFTER = 3.3  # seconds after which nobody who leaves holds a connection without a request
 TAKEN_FOR = 1.8  # seconds after which one that leaves takes no request any more
+ENDING_TAKEN_FOR = 0.65  # and one that ends: what comes 0.7 s after SIGTERM has to be answered by SIGKILL
 FIRST_WITHIN = 0.3  # seconds that a new connection has for its first command while others are closed
 CUSTOMER_BITS = 33
 WAIT_MOST = 3_600_000  # ms
 MS = 1_000
 
 
+class Stage(Enum):
+    """How far the end of a client's connection is."""
+
+    OPEN = auto()  # commands are read
+    LAST = auto()  # no more are: once all is answered comes the end
+    SHUT = auto()  # half-closed: our end is sent, what still comes is read away until the client ends, too
+
+
 class Malformed(Exception):
     """A command that is answered ``-ERR`` and goes no further."""
 
@@ -121,7 +137,7 @@
     def piece(self, data: bytes) -> None:
         """Some of them."""
         if self.begun:
-            self.client.transport.write(data)
+            self.client.write(data)
         else:
             self.reply += data
             self.source.pause()
@@ -135,10 +151,9 @@
     def fail(self) -> None:
         """The rest will never come: the client must not take what there is for an answer."""
         self.source = None
-        if not self.client.transport.is_closing():
+        if self.client.stage is not Stage.SHUT and not self.client.transport.is_closing():
             self.client.clients.driver.stats["stream_broken"] += 1
-            self.client.closing = True
-            self.client.transport.close()
+            self.client.half_close()
 
 
 @dataclass(slots=True)
@@ -185,8 +200,7 @@
         self.upload: Upload | None = None
         self.slots: deque[Slot] = deque()
         self.unfinished = 0  # bytes since the last whole command
-        self.closing = False  # close once all is answered
-        self.lingers = self.lingering = False  # read on for a while before that / at present
+        self.stage = Stage.OPEN
         self.surplus = False  # there is no room for it
         # Since when it waits for a first command, or for the rest of one; 0: for none.
         self.waits_since = clients.driver.loop.time()
@@ -206,7 +220,7 @@
             transport.abort()
 
     def pause_writing(self) -> None:
-        """Guards memory: a client that reads no answers is not read from either."""
+        """Guards memory: a client that reads no answers is not read from either, unless that is read away."""
         self.unread_since = self.clients.driver.loop.time()
         self.unread = self.transport.get_write_buffer_size()
         if self.slots and self.slots[0].source:
@@ -225,19 +239,30 @@
         return self.unread_since > 0 or len(self.slots) >= PIPELINE_MOST or no_room
 
     def _hold(self) -> None:
-        if not self.held:
+        if not self.held and self.stage is Stage.OPEN:
             self.held = True
             self.transport.pause_reading()
 
     def _go_on(self) -> None:
-        if self.held and not self._full() and not self.transport.is_closing():
+        if self.held and not self._full():
+            self._release()
+            self._read()
+
+    def _release(self) -> None:
+        """Read on."""
+        if self.held and not self.transport.is_closing():
             self.held = False
             self.transport.resume_reading()
-            self._read()
+
+    def write(self, data: bytes) -> None:
+        """Send something, where there is still a way."""
+        if self.stage is not Stage.SHUT:
+            self.transport.write(data)
 
     def data_received(self, data: bytes) -> None:
         """Commands, or parts of them."""
-        if self.closing:
+        if self.stage is not Stage.OPEN:
+            self.clients.driver.stats["client_read_away"] += len(data)
             return
         passed = self.reader.passed
         self.clients.driver.stats["client_bytes_in"] += len(data)
@@ -248,8 +273,10 @@
     def _read(self) -> None:
         """Carry out what has come whole, as long as there is room for its answers."""
         whole = False
+        if self.stage is not Stage.OPEN:
+            return None
         try:
-            while not self.closing:
+            while self.stage is Stage.OPEN:
                 if self._full():
                     return self._hold()
                 if self.upload:
@@ -275,6 +302,8 @@
         except hiredis.ProtocolError as wrong:  # where the next command starts is lost
             self.clients.driver.stats["client_protocol_error"] += 1
             self._end(" ".join(str(wrong).split()))
+        if self.clients.draining:
+            self.close_if_idle()
         return None
 
     def look(self, before: float) -> None:
@@ -285,12 +314,17 @@
         if 0 < self.unread_since < before - (UNREAD_FOR - WHOLE_WITHIN):
             self.clients.driver.stats["client_unread"] += 1
             self.transport.abort()  # a close would wait for the client
+        if self.stage is Stage.SHUT:
+            return
+        if self.held and self._has_ended():
+            self.clients.driver.stats["client_gone_unread"] += 1
+            self.transport.abort()
         late = 0 < self.waits_since < before or (self.upload is not None and self._dawdles(before))
         due, self.overdue = self.overdue, late and not self.slots
         if due and self.overdue:
             self.clients.driver.stats["client_overdue"] += 1
             if self.reader.between:
-                self.transport.close()  # no word, which would be taken for the answer to a request on its way
+                self.half_close()  # no word, which would be taken for the answer to a request on its way
             elif self.upload and not self.upload.has_room:
                 self.clients.driver.stats["refused_no_room"] += 1
                 self._last(b"-BUSY\r\n")  # it has not run
@@ -302,15 +336,43 @@
         self._last(b"-ERR %b\r\n" % why.encode(errors="replace"))
 
     def _last(self, reply: bytes) -> None:
-        """What still comes is read away for a while: a close over unread bytes would reset the connection
-        and take the line with it."""
-        if self.held and not self.transport.is_closing():
-            self.held = False
-            self.transport.resume_reading()
-        self.lingers = self.closing = True
+        """A last word; commands are not read any more."""
+        self._release()
+        self.stage = Stage.LAST
         self._free_upload()
         self._reply(reply)
 
+    def end_within(self) -> None:
+        """It takes too long over a command: that has not run."""
+        if self.stage is Stage.OPEN and not self.slots:
+            if self.reader.between and not self.upload:
+                self.half_close()
+            else:
+                self._last(b"-BUSY\r\n")
+
+    def half_close(self) -> None:
+        """Stop sending, and read away what still comes until the client ends as well: a close over unread
+        bytes would reset the connection, and take along what the client has not read yet. Whose request
+        crosses our end sees that nothing of it was taken up, and asks again elsewhere."""
+        if self.stage is Stage.SHUT or self.transport.is_closing():
+            return
+        self._release()
+        self.stage = Stage.SHUT
+        self.clients.shut_off(self)
+        self._let_go()
+        self.transport.write_eof()
+        self._linger()
+
+    def _linger(self) -> None:
+        self.clients.driver.loop.call_later(LINGER, self._cut)
+
+    def _cut(self) -> None:
+        if not self.transport.is_closing():
+            if self.transport.get_write_buffer_size():  # it reads slowly; ``look`` ends who doesn't read
+                self._linger()
+            else:
+                self.transport.abort()
+
     def _begin_upload(self, command: list[object], large: Large) -> None:
         """A command has come but for its large body: read on if it makes sense and there is room."""
         upload = self.upload = Upload(large, self.clients.driver.loop.time())
@@ -377,7 +439,7 @@
     def _arrived(self, terms: Terms, parts: tuple[bytes | Body, ...], room: int = 0) -> None:
         """A request has come whole; its body takes so much of the room for large ones."""
         if self.surplus and len(self.clients.open) > self.clients.most:  # guards descriptors: it has not run
-            self.closing = True
+            self.stage = Stage.LAST
             self.clients.driver.stats["refused_crowded"] += 1
             return self._reply(b"-BUSY 1000\r\n", room)
         if self.clients.finishing:
@@ -401,7 +463,7 @@
         while self.slots and (slot := self.slots[0]).reply is not None:
             if not slot.begun:
                 slot.begun = True
-                self.transport.write(slot.reply)
+                self.write(slot.reply)
                 if slot.source and not self.unread_since:
                     slot.source.resume()
             if slot.source:
@@ -412,8 +474,12 @@
 
     def is_idle(self) -> bool:
         """Nothing of a request is here, nor waits in the socket: where the loop is behind it often does, and
-        who sent it would wait for its answer on a closed connection."""
-        return not self.slots and not self.unread_since and self.reader.between and not self._has_more()
+        who sent it would have to send it again."""
+        return self._is_between() and not self.unread_since
+
+    def _is_between(self) -> bool:
+        parsed = self.reader.between and not self.reader.has_data()
+        return not self.slots and not self.upload and parsed and not self._has_more()
 
     def _has_more(self) -> bool:
         """Whether bytes wait that were not read yet."""
@@ -423,26 +489,37 @@
         except (OSError, ValueError):
             return False  # it can't be asked, or is closing
 
+    def _has_ended(self) -> bool:
+        """Whether a client that is not read from has closed: its end waits behind what it sent."""
+        if self.transport.is_closing():
+            return False
+        look = select.poll()
+        look.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(look.poll(0))
+
     def close_if_idle(self) -> None:
         """Close between two requests, if it shall be closed."""
-        if not self.slots and (self.closing or (self.clients.draining and self.reader.between)):
-            new = self.waits_since > self.clients.driver.loop.time() - FIRST_WITHIN
-            if self.lingers and not self.lingering and not self.transport.is_closing():
-                self.lingering = True
-                self.transport.write_eof()
-                self.clients.driver.loop.call_later(LINGER, self.transport.abort)
-            elif not self.lingers and (self.closing or not new):  # a new one's command is on its way
-                self.transport.close()
+        if self.slots or self.stage is Stage.SHUT:
+            return
+        new = self.waits_since > self.clients.driver.loop.time() - FIRST_WITHIN  # its command is on its way
+        if self.stage is Stage.LAST or (self.clients.draining and not new and self._is_between()):
+            self.half_close()
 
     def connection_lost(self, error: Exception | None) -> None:
         """The client has gone away, and with it all that it waited for."""
         self.clients.open.pop(self, None)
+        self.clients.shut.pop(self, None)
+        self._let_go()
+
+    def _let_go(self) -> None:
+        """Nothing more can be answered here: give up all that is held for it."""
         self._free_upload()
         slots, self.slots = self.slots, deque()
         for slot in slots:
             slot.give_back()
-            if slot.source:
-                slot.source.abort()
+            source, slot.source = slot.source, None
+            if source:
+                source.abort()
             elif slot.call:
                 self.clients.driver.client_gone(slot.call)
 
@@ -458,11 +535,13 @@
     def __init__(self, driver: Driver, config: Config, most: int) -> None:
         self.driver, self.config, self.most = driver, config, most
         self.open: dict[Client, None] = {}  # the one whose last request is longest ago comes first
+        self.shut: dict[Client, None] = {}  # half-closed, the one longest so first
         self.room = Room(int(BODIES_PART * config.memory))
         self.draining = False  # connections are closed between requests
         self.finishing = False  # and no request is taken any more
         self.leaving: list[asyncio.TimerHandle] = []  # the steps of a drain still to come
         self.server: asyncio.Server | None = None
+        self.accepting: set[asyncio.Task[object]] = set()  # the last connections, on their way into ``open``
 
     async def listen(self, sock: socket.socket | None = None) -> None:
         """Serve from now on, on the listening socket of the process before this one if it gave it."""
@@ -477,7 +556,7 @@
     def _look(self) -> None:
         """Who connects and sends nothing, or part of a command, is owed a close: its place is wanted."""
         before = self.driver.loop.time() - WHOLE_WITHIN
-        for client in list(self.open):
+        for client in [*self.open, *self.shut]:
             client.look(before)
             client.close_if_idle()
         self.driver.loop.call_later(LOOK_EVERY, self._look)
@@ -503,9 +582,11 @@
         self.driver.readiness.left = self.draining = self.finishing = False
         return "done joined"
 
-    def _owes(self) -> bool:
-        """Whether an answer is still to come, or the rest of a large one."""
-        return bool(self.driver.calls) or any(client.slots for client in self.open)
+    @property
+    def is_over(self) -> bool:
+        """Whether every request has its answer and every connection is closed at both ends: what a transport
+        has still to send would end with the process."""
+        return not (self.driver.calls or self.open or self.shut or self.accepting)
 
     def hand_on(self) -> None:
         """The next process accepts: close connections between requests."""
@@ -525,8 +606,7 @@
     def _close_without_request(self) -> None:
         """Whoever is within a command still, a large body for one."""
         for client in list(self.open):
-            if not client.slots:
-                client.transport.abort()
+            client.end_within()
 
     def opened(self, client: Client) -> int:
         """One more, if need be in the place of the one idle longest; how many there are beyond the limit."""
@@ -535,11 +615,17 @@
             idle = next((client for client in self.open if client.is_idle()), None)
             if idle:
                 self.driver.stats["client_evicted"] += 1
-                del self.open[idle]  # at once: more may come before its end is told
-                idle.transport.close()
+                idle.half_close()
         self.open[client] = None
+        if self.shut and len(self.open) + len(self.shut) > self.most + SURPLUS_MOST:  # guards descriptors
+            next(iter(self.shut)).transport.abort()
         return len(self.open) - self.most
 
+    def shut_off(self, client: Client) -> None:
+        """It is half-closed: it makes room, but its descriptor is held for a while."""
+        self.open.pop(client, None)
+        self.shut[client] = None
+
     def used(self, client: Client) -> None:
         """It has sent a request: the last to make room."""
         self.open.pop(client, None)
@@ -556,6 +642,7 @@
             "client_conns_most": self.most,
             "client_idle": sum(not c.slots and c.reader.between for c in self.open),
             "client_slots": sum(len(c.slots) for c in self.open),
+            "client_half_closed": len(self.shut),
             "client_unfinished": sum(not c.reader.between for c in self.open),
             "client_unfinished_bytes": self.unfinished(),
             "client_uploads": sum(c.upload is not None for c in self.open),
@@ -563,14 +650,42 @@
         }
 
     async def drain(self, accept_for: float) -> None:
-        """Close connections as they fall idle, go on accepting for a while, then finish what is held."""
+        """Close connections as they fall idle, go on accepting for a while, then finish what is held. Each
+        wait has an end: calls by their deadlines, commands by UNFINISHED_FOR, half-closed connections by
+        LINGER, and who reads too slowly for all that is cut off."""
         self.join()
         self.driver.readiness.ending = not self.driver.readiness.handed_on
         self._close_between()
+        loop = self.driver.loop
+        start = loop.time()
         await asyncio.sleep(accept_for)
-        self.server.close()
-        end = self.driver.loop.time() + UNFINISHED_FOR
-        while self._owes() or (self.open and self.driver.loop.time() < end):
+        self._stop_accepting()
+        await asyncio.sleep(max(0.0, start + ENDING_TAKEN_FOR - loop.time()))
+        self.finishing = True
+        unfinished_until = start + accept_for + UNFINISHED_FOR
+        left = max((call.until for call in self.driver.calls.values()), default=0) - self.driver.clock()
+        ends = loop.time() + max(0.0, left / 1e6) + UNREAD_FOR
+        while not self.is_over and loop.time() < ends:
             for client in list(self.open):
                 client.close_if_idle()
+                if loop.time() >= unfinished_until:
+                    client.end_within()
             await asyncio.sleep(0.01)
+        if not self.is_over:
+            log.warning(
+                "drain_cut", calls=len(self.driver.calls), connections=len(self.open) + len(self.shut)
+            )
+
+    def _stop_accepting(self) -> None:
+        """No new connections. Those that wait to be accepted are: with the listener they would be reset."""
+        if not self.server.sockets:  # the next process has the listener
+            return
+        listener = socket.socket(fileno=os.dup(self.server.sockets[0].fileno()))
+        self.server.close()
+        with listener, contextlib.suppress(OSError):  # there are no more
+            listener.setblocking(False)
+            while True:
+                sock, _ = listener.accept()
+                opening = self.driver.loop.connect_accepted_socket(lambda: Client(self), sock)
+                self.accepting.add(task := self.driver.loop.create_task(opening))
+                task.add_done_callback(self.accepting.discard)
--- a/saffrongw/upgrade.py
+++ b/saffrongw/upgrade.py
@@ -204,10 +204,11 @@
         self.tasks += [self.loop.create_task(self._hear()), self.loop.create_task(self._finish_all())]
 
     async def _finish_all(self) -> None:
-        while self.driver.calls or self.clients.open:
+        while not self.clients.is_over:
             for client in list(self.clients.open):
                 client.close_if_idle()
-            self.channel.send(sockets=[len(self.clients.open), self.driver.hosts.sockets])
+            held = len(self.clients.open) + len(self.clients.shut)
+            self.channel.send(sockets=[held, self.driver.hosts.sockets])
             await asyncio.sleep(LOOK_EVERY)
         log.info("handover_finished")
         self.channel.writer.close()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -255,6 +255,7 @@
         self.reader.feed(data)
         while (command := self.reader.gets()) is not False:
             self.host.commands.append(command)
+            self.host.sender = self
             reply = self.host.script(command)
             if reply == b"reset":
                 self.transport.abort()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -22,6 +22,7 @@
     UNFINISHED_ALL,
     UNREAD_FOR,
     WHOLE_WITHIN,
+    Stage,
 )
 
 
@@ -440,7 +441,7 @@
     client.look(rig.loop.time() - WHOLE_WITHIN)
     assert await caller.replied() == [b"PONG"]
     client.look(rig.loop.time() - WHOLE_WITHIN)
-    assert not client.closing
+    assert client.stage is Stage.OPEN
 
 
 @asyncio_test
