A flood of commands waits for its neighbours; what comes after the heir's death is refused at once

A client's piece of thousands of commands was carried out to its end before anyone else was read from: 64 of them now, and the rest in the loop's next turns. Forced by bytes of both in the sockets before the loop looks; without the bound the neighbour is answered after all 4,000.

A process that had handed over passed on what it read to a process that had died meanwhile: nobody answered until the request's time was up. Nothing of it was sent, so it is refused at once.

Found sound, with tests: SIGTERM while the state is handed over, whether the next process takes it or not; look-ups by class, customer and deployment (two customers in one piece, two deployments with the same names in one process).

--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -29,6 +29,7 @@
 UNFINISHED_MOST = 2 * VALUE_MOST  # bytes of one command: a body and little else
 UNFINISHED_ALL = 64 * VALUE_MOST  # bytes of all clients' unfinished commands, to bound memory
 PIPELINE_MOST = 64  # requests open on one connection: no more is read from it meanwhile
+TURN_MOST = 64  # commands of one client that are carried out before all others have their turn
 SURPLUS_MOST = 16  # connections beyond the limit that still get a word: more are closed at once
 UNREAD_FOR = 10.0  # seconds that a client may leave its answers unread
 ID_MOST = 64  # bytes of a request's id
@@ -272,13 +273,17 @@
 
     def _read(self) -> None:
         """Carry out what has come whole, as long as there is room for its answers."""
-        whole = False
+        whole, turn = False, 0
         if self.stage is not Stage.OPEN:
             return None
         try:
             while self.stage is Stage.OPEN:
                 if self._full():
                     return self._hold()
+                if turn >= TURN_MOST:
+                    self._hold()
+                    self.clients.driver.loop.call_soon(self._go_on)
+                    return None
                 if self.upload:
                     if not self._uploaded():
                         break
@@ -286,7 +291,7 @@
                     continue
                 if (command := self.reader.gets()) is False:
                     break
-                self.unfinished, whole = 0, True
+                self.unfinished, whole, turn = 0, True, turn + 1
                 if self.reader.large and isinstance(command, list) and command[-1:] == [MARK]:
                     self._begin_upload(command, self.reader.large.popleft())
                 else:
--- a/saffrongw/upgrade.py
+++ b/saffrongw/upgrade.py
@@ -104,6 +104,7 @@
         self.loop, self.stop = driver.loop, stop
         self.sock: socket.socket | None = None
         self.channel: Channel | None = None  # to the process that has taken over
+        self.is_alone = False  # that one has ended
         self.asked: dict[int, asyncio.Future[str]] = {}
         self.tasks: list[asyncio.Task] = []
 
@@ -227,6 +228,7 @@
                     case {"call": int(number), "line": str(line)}:
                         self.tasks.append(self.loop.create_task(self._say(number, line)))
         except BROKEN:
+            self.is_alone = True
             for call in list(self.driver.calls.values()):
                 self.driver.answered_elsewhere(call.event.request, FAILED)
 
@@ -235,6 +237,9 @@
 
     def arrived(self, call: Call) -> None:
         """A request that was read here: the next process decides on it."""
+        if self.is_alone:  # nobody does any more, and nothing of it was sent
+            self.driver.answered_elsewhere(call.event.request, b"-BUSY\r\n")
+            return
         event, left = call.event, call.until - self.driver.clock()
         terms = [event.customer, event.kind, event.plan, left, event.units, event.set_size, event.set_first]
         parts = [part.decode("latin-1") for part in call.parts]
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -16,7 +16,7 @@
 from test_large import answer, post
 
 from saffrongw import clients as clients_module
-from saffrongw.clients import SURPLUS_MOST, WHOLE_WITHIN, Client, Stage
+from saffrongw.clients import SURPLUS_MOST, TURN_MOST, WHOLE_WITHIN, Client, Stage
 from saffrongw.hosts import REST
 
 PING = hiredis.pack_command((b"PING",))
@@ -361,6 +361,64 @@
     assert [host.out for host in gateway.hosts.values()] == [0]
 
 
+# -- neighbours
+
+
+@asyncio_test
+async def test_who_floods_with_commands_waits_for_its_neighbours():
+    """A piece of thousands of commands was carried out to its end before anyone else was read from."""
+    rig = Rig(await FakeHost("a").listen())
+    flood, flooding = await connected(rig)
+    calm, waiting = await connected(rig)
+    order: list[Client] = []
+    for client in (flooding, waiting):
+        client.write = lambda data, client=client: (order.append(client), client.transport.write(data))
+    flood.send(PING * 4_000)
+    calm.send(PING)
+    arrived(fileno(waiting))  # both are there before the loop looks
+    assert await calm.read(7) == b"+PONG\r\n"
+    assert order.index(waiting) <= 2 * TURN_MOST
+    assert await flood.read(7 * 4_000) == b"+PONG\r\n" * 4_000
+
+
+@asyncio_test
+async def test_each_request_goes_by_the_settings_of_its_own_class_customer_and_deployment():
+    """Two deployments in one process with the same names, two customers on one connection."""
+    for effects in (("once", "by_key"), ("by_key", "once")):
+        classes = [
+            dict(cls, name=name, effect=effect, group="all")
+            for cls, (name, effect) in zip(
+                SITE["classes"], zip(("put", "bill"), effects, strict=True), strict=False
+            )
+        ]
+        hosts = [await FakeHost(name).listen() for name in "ab"]
+        rig = Rig(
+            *hosts, classes=classes, packages=[dict(SITE["packages"][0], peakUnits=2.0, perSecond=0.001)]
+        )
+        for host in hosts:
+            host.script = lambda command: b"reset"
+        caller = await rig.caller()
+        for name, effect in zip(("put", "bill"), effects, strict=True):
+            before = sum(len(host.commands) for host in hosts)
+            words = (b"00000000000000%02x" % (7 + before), b"id", b"k=key," + TERMS % (name.encode(), 2000))
+            caller.ask(b"CALL.POST", *words, b"BODY")
+            await caller.replied(len(caller.replies) + 1)
+            sent = sum(len(host.commands) for host in hosts) - before
+            assert (sent == 1) == (effect == "once"), effect
+    # The quota of one is spent, the other's is not, whichever comes first in a piece.
+    host = await FakeHost("a").listen()
+    rig = Rig(host, packages=[dict(SITE["packages"][0], peakUnits=2.0, perSecond=0.001)])
+    caller = await rig.caller()
+    spent, other = [
+        hiredis.pack_command((b"CALL.GET", who, b"id", TERMS % (b"read", 2000)))
+        for who in (b"0000000000000007", b"0000000000000008")
+    ]
+    caller.transport.write(spent * 3 + other + spent + other)
+    replies = [str(reply).split()[0] for reply in await caller.replied(6)]
+    assert replies[0] == "b'ok'" and replies[3] == "b'ok'"
+    assert replies[2] == replies[4] == "BUSY"
+
+
 # -- the process
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -203,6 +203,55 @@
         sock.close()
 
 
+@pytest.mark.parametrize("word", [b"", b'{"serving": true}\n'])
+@asyncio_test
+async def test_sigterm_while_nobody_decides_loses_nothing(tmp_path, word):
+    """Whether the next process takes over after it or not: what is held is answered, then the end comes."""
+    host = await FakeHost("a").listen()
+    async with Service(tmp_path, host) as service:
+        old = await service.start()
+        kept = await service.caller()
+        sock = await asyncio.to_thread(call, service)
+        _, descriptors, _, _ = await asyncio.to_thread(socket.recv_fds, sock, 1, 2)
+        sock.sendall(b'{"take": true}\n')
+        await asyncio.to_thread(receive, sock, b'{"end": true}')
+        kept.call(wait=9000)
+        old.send_signal(signal.SIGTERM)
+        if word:
+            sock.sendall(word)
+            relayed = await asyncio.to_thread(receive, sock, b'"arrived"')
+            number = json.loads(next(line for line in relayed.splitlines() if b"arrived" in line))["arrived"]
+            sock.sendall(json.dumps({"answer": number, "reply": "$2\r\nok\r\n"}).encode() + b"\n")
+        assert await kept.replied() == [b"ok"]
+        await until(lambda: kept.closed)
+        assert await asyncio.wait_for(old.wait(), 10) == 0
+        for number in descriptors:
+            socket.close(number)
+        sock.close()
+
+
+@asyncio_test
+async def test_what_is_read_after_the_next_process_has_died_is_refused_at_once(tmp_path):
+    """It was passed on to nobody, and failed when its time was up."""
+    host = await FakeHost("a").listen()
+    host.script = lambda command: None
+    async with Service(tmp_path, host) as service:
+        await service.start()
+        holder, half = await service.caller(), await service.caller()
+        holder.call("put", wait=9_000, number=b"held")  # keeps the old process
+        await until(lambda: host.commands)
+        words = (b"CALL.GET", b"0000000000000007", b"half", b"c=read,t=team,d=9000,units=1,spread=2,first=0")
+        whole = hiredis.pack_command(words)
+        half.transport.write(whole[:40])
+        new = await service.start()
+        new.kill()
+        await new.wait()
+        half.transport.write(whole[40:])
+        assert str((await half.replied())[0]) == "BUSY"
+        host.connections[0].transport.write(OK)
+        assert await holder.replied() == [b"ok"]
+
+
 @asyncio_test
 async def test_another_version_is_told_no_and_nothing_is_handed_over(tmp_path):
     host = await FakeHost("a").listen()
