A large answer ends at the client once all of it has come, not once its value has

Where a host's answer broke off behind the value of a large one, the client had been given the last byte already, and an answer that was cut off looked whole. The end of the value is now passed on with the end of the answer. A second large value behind it is never passed on, as before.

tests/test_large.py cuts an answer at eleven and more places around its head and its value, by an end and by a reset, with and without figures behind the value; without the mend it fails where the figures are cut. An answer that comes twice is passed on once.

--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -18,7 +18,7 @@
 
 from .config import Address, HostList
 from .driver import Attempt, Driver, Sink
-from .resp import CRLF, VALUE_MOST, Reader
+from .resp import CRLF, VALUE_MOST, Large, Reader
 
 ANSWER_MOST = 2 * VALUE_MOST  # bytes of a whole answer but for a large value: figures and a report
 PIECE_MOST = 256 * 1024  # bytes that wait in a socket: bounds a piece, where the client is slow
@@ -72,7 +72,8 @@
         self.transport: asyncio.Transport | None = None
         self.reader = Reader(VALUE_MOST, large_at=0)
         self.attempt: Attempt | None = None
-        self.sink: Sink | None = None  # where the pieces of a large answer go
+        self.large: Large | None = None  # the value of this answer, where it is a large one
+        self.sink: Sink | None = None  # where its pieces go
         self.reply: object = False  # what came of it besides: it is used again once that is whole
         self.paused = False
         self.heard = 0.0  # when it last sent a piece
@@ -111,7 +112,7 @@
 
     def begin(self, attempt: Attempt, now: int) -> None:
         """Write an attempt's request."""
-        self.attempt, attempt.link, self.received = attempt, self, 0
+        self.attempt, attempt.link, self.received, self.large = attempt, self, 0, None
         for piece in pack_request(attempt, now):
             self.transport.write(piece)
         attempt.whole = not self.transport.get_write_buffer_size() and not self.transport.is_closing()
@@ -141,10 +142,11 @@
                 self._stream()
             if self.reply is False:
                 self.reply = self.reader.gets()
-            reply = False if self.reader.passing else self.reply
+            passing = self.reader.passing is not None and self.reader.passing is self.large
+            reply = False if passing else self.reply
             odd = reply is not False and (self.reader.has_data() or not self.reader.between)
-            if reply is False and not self.reader.passing and self.received > ANSWER_MOST:
-                raise hiredis.ProtocolError("answer too long")
+            if reply is False and not passing and (self.reader.large or self.received > ANSWER_MOST):
+                raise hiredis.ProtocolError("answer too long, or a second large value")
         except hiredis.ProtocolError:
             reply, odd = None, True
         attempt = self.attempt
@@ -152,6 +154,12 @@
         if reply is False and not early:
             return
         self.reply = False
+        sink = self.sink
+        if (
+            sink and reply is not None
+        ):  # not before all has come: a value may be whole, and its answer cut off
+            self.sink = None
+            sink.end()
         if odd or early:  # what belongs to what is lost
             self.close()
         else:
@@ -162,24 +170,22 @@
             hosts.replied(attempt, reply, odd)
 
     def _stream(self) -> None:
-        """Pass on what has come of a large value."""
+        """Pass on what has come of a large value; one that comes behind it belongs to no request."""
         hosts, large, attempt = self.pool.hosts, self.reader.large[0], self.attempt
-        if self not in hosts.streams:
+        if self.large is None:
             if attempt and attempt.whole:
                 self.sink = hosts.driver.stream_started(attempt, large.length, self)
             if self.sink is None:
                 raise hiredis.ProtocolError("a large value that nobody waits for")
-            self.attempt, hosts.streams[self] = None, None
-        if self.sink is None:
-            raise hiredis.ProtocolError("a second large value")
+            self.attempt, hosts.streams[self], self.large = None, None, large
+        if large is not self.large:
+            return
         self.heard = hosts.loop.time()
         for piece in large.take():
             self.sink.piece(piece)
         if not large.left:
             self.reader.large.popleft()
             self.received = 0
-            sink, self.sink = self.sink, None
-            sink.end()
 
     def pause(self) -> None:
         """The client is slow: what comes waits at the host."""
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import socket
+import struct
 
 import hiredis
 import pytest
@@ -124,6 +125,53 @@
     assert rig.driver.stats["stream_broken"] == 1 and rig.hosts.sockets == 0
 
 
+@pytest.mark.parametrize("rest", [b"$-1\r\n$21\r\nlatency_ms=9,util=0.5\r\n", b""])
+@pytest.mark.parametrize("end", ["end", "reset"])
+@asyncio_test
+async def test_a_large_answer_cut_anywhere_never_looks_whole(end, rest):
+    """Where only the figures behind the value were missing, it did."""
+    value = BIG[:70_000]
+    data = answer(value, rest) if rest else b"*1\r\n$%d\r\n%b\r\n" % (len(value), value)
+    head, tail = data.index(value), data.index(value) + len(value)
+    for cut in (0, 3, head, head + 1, head + 50_000, *range(tail - 1, len(data) + 1)):
+        host = await FakeHost("a").listen()
+        host.script = lambda command: None
+        rig = Rig(host)
+        caller = await rig.caller()
+        caller.call("bill")
+        await until(lambda host=host: host.commands)
+        (connection,) = host.connections
+        connection.transport.write(data[:cut])
+        if cut > head:
+            await until(lambda rig=rig: rig.hosts.streams or not rig.driver.calls)
+        if end == "reset":
+            sock = connection.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.transport.close()
+        await until(lambda caller=caller, cut=cut, head=head: caller.closed or (caller.replies and True))
+        if cut == len(data):
+            assert caller.replies == [value] or (end == "reset" and not caller.replies)
+        elif caller.replies:
+            assert str(caller.replies[0]) == "ERR failed" and len(caller.replies) == 1
+        else:
+            assert caller.closed and rig.driver.stats["stream_broken"] == 1
+        await until(lambda rig=rig: rig.hosts.sockets == 0)
+        assert len(host.commands) == 1
+        caller.transport.close()
+
+
+@asyncio_test
+async def test_a_large_answer_that_comes_twice_is_passed_on_once():
+    host = await FakeHost("a").listen()
+    host.script = lambda command: answer(BIG) * 2 if command[2] == b"one" else answer(b"other")
+    rig = Rig(host)
+    caller = await rig.caller()
+    caller.call(number=b"one")
+    assert await caller.replied() == [BIG]
+    caller.call(number=b"two")
+    assert await caller.replied(2) == [BIG, b"other"]
+
+
 @asyncio_test
 async def test_a_host_that_falls_silent_within_an_answer_is_given_up(monkeypatch):
     monkeypatch.setattr(hosts_module, "SILENT_FOR", 0.3)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -243,9 +243,11 @@
         words = (b"CALL.GET", b"0000000000000007", b"half", b"c=read,t=team,d=9000,units=1,spread=2,first=0")
         whole = hiredis.pack_command(words)
         half.transport.write(whole[:40])
+        former = service.control
         new = await service.start()
         new.kill()
         await new.wait()
+        await service.say(b"HEALTH", former)  # by its answer the old process has seen that end
         half.transport.write(whole[40:])
         assert str((await half.replied())[0]) == "BUSY"
         host.connections[0].transport.write(OK)
