Clients that left while their request waited are counted; new counters in metrics and README

A test that floods with PING wrote 100 turns at most, which 64 commands a turn do not fill any more: it goes on until the gateway pauses, with small buffers, and all must still be answered.

--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -209,6 +209,7 @@
         self.unread_since = 0.0  # since when the client takes nothing of its answers; 0: it does
         self.unread = 0  # bytes that it had not taken then
         self.held = False  # no more is read for now
+        self.seen = self.waits_since  # when it was there still, where nothing is read
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -241,7 +242,7 @@
 
     def _hold(self) -> None:
         if not self.held and self.stage is Stage.OPEN:
-            self.held = True
+            self.held, self.seen = True, self.clients.driver.loop.time()
             self.transport.pause_reading()
 
     def _go_on(self) -> None:
@@ -324,6 +325,8 @@
         if self.held and self._has_ended():
             self.clients.driver.stats["client_gone_unread"] += 1
             self.transport.abort()
+        elif self.held:
+            self.seen = self.clients.driver.loop.time()
         late = 0 < self.waits_since < before or (self.upload is not None and self._dawdles(before))
         due, self.overdue = self.overdue, late and not self.slots
         if due and self.overdue:
@@ -520,13 +523,14 @@
         """Nothing more can be answered here: give up all that is held for it."""
         self._free_upload()
         slots, self.slots = self.slots, deque()
+        unseen = self.clients.driver.loop.time() - self.seen if self.held else 0.0
         for slot in slots:
             slot.give_back()
             source, slot.source = slot.source, None
             if source:
                 source.abort()
             elif slot.call:
-                self.clients.driver.client_gone(slot.call)
+                self.clients.driver.client_gone(slot.call, unseen)
 
     def _free_upload(self) -> None:
         upload, self.upload = self.upload, None
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -26,6 +26,9 @@
 # The client's clock started when it sent: so much before its time is up the last answer must be on its way.
 ON_THE_WAY = 10 * MS
 FAILED = b"-ERR failed\r\n"
+GONE_FOR = (
+    300 * MS
+)  # after a client has gone its request may be sent on for so long: it may not be seen at once
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,10 +217,16 @@
             self.feed(event)
         return call
 
-    def client_gone(self, call: Call) -> None:
-        """The client has closed its connection: nothing is owed any more."""
+    def client_gone(self, call: Call, unseen: float = 0.0) -> None:
+        """The client has closed its connection: nothing is owed any more; unseen: for how many seconds it may
+        have been gone before it was seen."""
         if not call.finished:
             self.stats["client_gone"] += 1
+            first = next((attempt for attempt in call.attempts if attempt.whole), None)
+            if first is None:
+                self.stats["client_gone_waiting"] += 1
+            elif first.sent > self.clock() - int(unseen * 1e6) + GONE_FOR:
+                self.stats["client_gone_sent_late"] += 1
             self._observe(call, "client_gone")
             self._close(call)
             if call.elsewhere:
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -351,6 +351,8 @@
     leave(plain.sock)
     await until(lambda: not rig.driver.calls, within=20)
     assert rig.loop.time() - asked < 1.5  # not its deadline, which is 2 s
+    stats = rig.driver.stats
+    assert stats["client_gone_waiting"] > 0 and stats["client_gone_sent_late"] == 0
     opens.open()
     other, _ = await connected(rig)
     other.send(request(99, b"bill"))  # whatever was to come before it has come
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -630,12 +630,16 @@
     pause = client.pause_writing
     client.transport.set_write_buffer_limits(high=1024)
     client.pause_writing = lambda: (paused.append(True), pause())
+    # A few commands a turn are carried out: what the sockets hold on the way has to be small.
+    client.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    caller.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     pings = 0
-    while not paused and pings < 2_000_000:
-        caller.transport.write(hiredis.pack_command((b"PING",)) * 20_000)
-        pings += 20_000
-        await asyncio.sleep(0)
-    assert paused
+    async with asyncio.timeout(30):
+        while not paused:
+            if caller.transport.get_write_buffer_size() < 100_000:
+                caller.transport.write(hiredis.pack_command((b"PING",)) * 20_000)
+                pings += 20_000
+            await asyncio.sleep(0)
     caller.transport.resume_reading()
     await caller.replied(pings)
 
