A large answer that breaks off before its turn fails alone; tests of two more ends of processes

Slot.fail ended the connection in any case. Where nothing of the answer had been written, since one before it was still to come, the request before it was lost with the connection: now the broken one is answered as failed.

--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -21,7 +21,7 @@
 from orchidlane.interface import Effect
 
 from .config import Config
-from .driver import Body, Call, Driver, Source, Terms
+from .driver import FAILED, Body, Call, Driver, Source, Terms
 from .resp import CRLF, LARGE_MOST, MARK, VALUE_MOST, Large, Reader
 
 log = logs.get(__name__)
@@ -152,9 +152,13 @@
     def fail(self) -> None:
         """The rest will never come: the client must not take what there is for an answer."""
         self.source = None
-        if self.client.stage is not Stage.SHUT and not self.client.transport.is_closing():
-            self.client.clients.driver.stats["stream_broken"] += 1
+        if self.client.stage is Stage.SHUT or self.client.transport.is_closing():
+            return
+        self.client.clients.driver.stats["stream_broken"] += 1
+        if self.begun:
             self.client.half_close()
+        else:  # nothing of it was written: those that are answered before it keep their connection
+            self.answer(FAILED)
 
 
 @dataclass(slots=True)
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -160,6 +160,27 @@
         caller.transport.close()
 
 
+@pytest.mark.parametrize("wrong", [b"xx", b"\r\n$70000\r\n", b"\r\n:x"])
+@asyncio_test
+async def test_a_large_answer_that_is_spoilt_before_its_turn_fails_alone(wrong):
+    """It took the connection along, and with it the request before it, which was still to be answered."""
+    host = await FakeHost("a").listen()
+    first = []
+    spoilt = b"*3\r\n$70000\r\n%b%b" % (BIG[:70_000], wrong + b"\r\n" + b"x" * 70_000)
+    host.script = lambda command: first.append(host.sender) if command[2] == b"one" else spoilt
+    rig = Rig(host)
+    caller = await rig.caller()
+    caller.call(number=b"one")
+    await until(lambda: first)
+    caller.call("bill", number=b"two")
+    await until(lambda: rig.driver.stats["stream_broken"])
+    first[0].transport.write(answer(b"ok"))
+    caller.ask(b"PING")
+    replies = await caller.replied(3)
+    assert replies[0] == b"ok" and str(replies[1]) == "ERR failed" and replies[2] == b"PONG"
+    assert len(host.commands) == 2
+
+
 @asyncio_test
 async def test_a_large_answer_that_comes_twice_is_passed_on_once():
     host = await FakeHost("a").listen()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -12,10 +12,11 @@
 import hiredis
 import pytest
 from conftest import SECOND, SITE, Bench, FakeHost, Service, asyncio_test, entry, listed, of, until
+from test_news import Agent
 
 from orchidlane import handover
 from orchidlane import interface as api
-from orchidlane.rules import Gateway
+from orchidlane.rules import HOLD, Gateway
 
 OK = b"*1\r\n$2\r\nok\r\n"
 FEW = {"packages": [SITE["packages"][0] | {"perSecond": 0.001, "peakUnits": 40.0}]}  # a quota hardly refilled
@@ -230,6 +231,66 @@
         sock.close()
 
 
+@asyncio_test
+async def test_sigterm_before_a_process_is_ready_ends_it(tmp_path):
+    """It waits for the process before it, which has taken the call and never answers."""
+    host = await FakeHost("a").listen()
+    async with Service(tmp_path, host) as service:
+        with socket.socket(socket.AF_UNIX) as elder:
+            elder.bind(str(path(service)))
+            elder.listen()
+            elder.settimeout(20)
+            process = await service.start(ready=False)
+            called, _ = await asyncio.to_thread(elder.accept)
+            process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(process.wait(), 10) == 0
+            called.close()
+
+
+@asyncio_test
+async def test_nothing_is_sent_for_a_client_that_left_while_its_request_waited_at_the_next_process(tmp_path):
+    """Read by the old process, held by the next one as no host is listed there; then the host is back."""
+    hosts = [await FakeHost(name).listen() for name in "ab"]
+    serving = {"seq": 5, "whole": True, "hosts": [host.line() for host in hosts]}
+    draining = {"seq": 6, "whole": True, "hosts": [host.line("DRAINING") for host in hosts]}
+    loop = asyncio.get_running_loop()
+    agents = [Agent([serving]), Agent([draining])]
+    servers = [await loop.create_server(lambda agent=agent: agent, "127.0.0.1", 0) for agent in agents]
+    where = [f"127.0.0.1:{server.sockets[0].getsockname()[1]}" for server in servers]
+    async with Service(tmp_path, *hosts, discovery=where[0]) as service:
+        await service.start()
+        former = service.control
+        holder, half = await service.caller(), await service.caller()
+        for host in hosts:
+            host.script = lambda command: None if command[2] == b"held" else OK
+        holder.call("put", wait=20_000, number=b"held")  # the old process stays
+        await until(lambda: hosts[0].commands or hosts[1].commands)
+        words = (b"CALL.GET", b"0000000000000007", b"half", b"c=read,t=team,d=9000,units=1,spread=2,first=0")
+        whole = hiredis.pack_command(words)
+        half.transport.write(whole[:40])
+        service.text["discovery"] = where[1]
+        await service.start(ready=False)
+        await until(lambda: len(agents[1].asked) >= 2, within=20)
+        while not (await service.say(b"HEALTH")).startswith("done"):
+            await asyncio.sleep(0.02)
+        half.transport.write(whole[40:])
+        for where in (former, service.control):  # each of them has its turn after what came before
+            await service.say(b"HEALTH", where)
+        half.transport.close()
+        for where in (former, service.control):
+            await service.say(b"HEALTH", where)
+        agents[1].transport.write(answered(serving | {"seq": 7}))
+        ends = loop.time() + 10 * HOLD / 1e6  # a held request looks for a host so often
+        while loop.time() < ends:
+            assert await ask(service, b"other") == b"ok"
+        assert {command[2] for host in hosts for command in host.commands} == {b"held", b"other"}
+
+
+def answered(listed: dict) -> bytes:
+    body = json.dumps(listed).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
 @asyncio_test
 async def test_what_is_read_after_the_next_process_has_died_is_refused_at_once(tmp_path):
     """It was passed on to nobody, and failed when its time was up."""
