Test: the time of a question that was answered sends nothing while the attempt is out

The guard of timers on requests with an attempt out was failed by no test; without it the timer of a question to a keeper that had answered sends a second attempt, or ends the request.

--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -392,6 +392,17 @@
     assert not of(say(bench, keeper, told([], size=50)), api.Send)  # said twice
 
 
+@pytest.mark.parametrize("kind", range(5))
+def test_the_time_of_a_question_that_was_answered_sends_nothing_more(kind):
+    """It runs out while the attempt is out: neither a second one nor an end may come of it."""
+    bench = Bench(gateways=60)
+    (question,) = of(bench.ask(1, kind=kind, size=50), api.TellPeer)
+    bench.now += 20_000
+    assert of(say(bench, question.peer, told([], size=50)), api.Send)
+    bench.run(SECOND)
+    assert len(of(bench.log, api.Send)) == 1 and not of(bench.log, api.Refuse | api.Fail)
+
+
 def test_who_leaves_while_it_waits_is_forgotten():
     bench = Bench(gateways=60)
     bench.ask(1, size=50)
