Who connects while the accept queue is full is not left without a word; a word on room in 3 s

A thousand that connect at once and rest: 57 of them heard neither a word nor an end for as long as was looked (16 s). The listener's queue was as long as the limit of clients (85); beyond it the system completes a handshake that the gateway never sees, and who sends nothing never learns. Reason for the figure: what waits there costs no descriptor, and the gateway closes what is too many itself.

The wait for room is 1.6 s (3 before), and who got room late has 0.6 s to go on. tests/test_client_ends.py: a thousand of four kinds against a process, with a neighbour that is served.

--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -30,15 +30,21 @@
 UNFINISHED_ALL = 64 * VALUE_MOST  # bytes of all clients' unfinished commands, to bound memory
 PIPELINE_MOST = 64  # requests open on one connection: no more is read from it meanwhile
 TURN_MOST = 64  # commands of one client that are carried out before all others have their turn
+# Connections that the system holds until they are accepted. One that finds no room there may take itself for
+# connected and hear nothing for ever; here it gets a word, or its end.
+BACKLOG = 1024
 SURPLUS_MOST = 16  # connections beyond the limit that still get a word: more are closed at once
 UNREAD_FOR = 10.0  # seconds that a client may leave its answers unread
 ID_MOST = 64  # bytes of a request's id
 WHOLE_WITHIN = 2.2  # seconds for a first command, for the rest of one, or for more of a large body
+GOES_ON_WITHIN = 0.6  # and for more of a large body that waited for room: who still sends has it at hand
 RATE_LEAST = 16 * 1024  # bytes of a large body a second, after that time
 BODY_AT = 4  # place of a command's body
 PIECE_MOST = 256 * 1024  # bytes that wait in a socket: bounds a piece
 BODIES_PART = 1 / 5  # of the memory: what all large bodies that are kept may take
-ROOM_WITHIN = 3.0  # seconds that a client waits for room for its large body
+ROOM_WITHIN = (
+    1.6  # seconds that a client waits for room for its large body: in 3 s it is owed a word or an end
+)
 LINGER = 1.0  # seconds in which what a client still sends is read away, so that it gets what it was sent
 LOOK_EVERY = 0.2  # seconds between two looks at what is overdue
 UNFINISHED_FOR = 1.0  # seconds that a client stuck within a command may hold up the end
@@ -405,7 +411,8 @@
     def got_room(self) -> None:
         """There is room for the large body now."""
         now = self.clients.driver.loop.time()
-        self.upload.has_room, self.upload.began, self.waits_since = True, now, now
+        self.upload.has_room, self.upload.began = True, now
+        self.waits_since = now - WHOLE_WITHIN + GOES_ON_WITHIN
         self._go_on()
 
     def _uploaded(self) -> bool:
@@ -562,7 +569,7 @@
             where = {"sock": sock}
         else:  # shared: a process that hangs may still hold it
             where = {"host": self.config.listen[0], "port": self.config.listen[1], "reuse_port": True}
-        self.server = await self.driver.loop.create_server(lambda: Client(self), backlog=self.most, **where)
+        self.server = await self.driver.loop.create_server(lambda: Client(self), backlog=BACKLOG, **where)
         self.driver.readiness.serving = True
         self._look()
 
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import socket
 
@@ -345,7 +346,7 @@
     host = await FakeHost("a").listen()
     permissions = SITE["permissions"] | {"cancel": may_cancel, "connectTimeout": 5_000_000}
     rig = Rig(host, permissions=permissions, sockets=256)
-    plain, _ = await connected(rig)
+    plain, _ = await connected(rig, room=4096)
     opens = await wait(rig, host, plain)
     asked = rig.loop.time()
     leave(plain.sock)
@@ -424,6 +425,55 @@
 # -- the process
 
 
+@asyncio_test
+async def test_a_thousand_that_connect_and_rest_are_closed_in_time_and_neighbours_are_served(tmp_path):
+    """Some send part of a command, or much of a large one. Descriptors stay within the limit all the time."""
+    host = await FakeHost("a").listen()
+    async with Service(tmp_path, host) as service:
+        process = await service.start()
+        loop = asyncio.get_running_loop()
+        where = service.text["listen"].split(":")
+        where = (where[0], int(where[1]))
+        descriptors, replies, over = [], [], asyncio.Event()
+        folder = f"/proc/{process.pid}/fd"
+
+        async def ask() -> None:
+            """A neighbour, whose connection may be closed between two requests to make room."""
+            neighbour = await service.caller()
+            while not over.is_set():
+                descriptors.append(len(os.listdir(folder)))
+                if neighbour.closed:
+                    neighbour = await service.caller()
+                else:
+                    neighbour.call(number=b"n%d" % len(descriptors))
+                    await until(lambda who=neighbour: who.replies or who.closed)
+                    replies.extend(neighbour.replies)
+                    neighbour.replies.clear()
+
+        async def rest(words: bytes) -> float:
+            """Connect, and see the end: seconds from the one to the other."""
+            with socket.socket() as sock:
+                sock.setblocking(False)
+                await loop.sock_connect(sock, where)
+                began = loop.time()
+                with contextlib.suppress(ConnectionResetError, BrokenPipeError):
+                    await loop.sock_sendall(sock, words)
+                    while await loop.sock_recv(sock, 65536):
+                        pass  # an error line
+                return loop.time() - began
+
+        asking = asyncio.create_task(ask())
+        kinds = (b"", b"*1\r\n$4\r\nPI", post(b"x" * 300_000)[:90_000], b"junk\r\n")
+        took = await asyncio.wait_for(asyncio.gather(*(rest(kinds[n % 4]) for n in range(1_000))), 50)
+        over.set()
+        await asking
+        assert len(took) == 1_000 and max(descriptors) <= service.text["limits"]["sockets"]
+        assert sum(span > 3.5 for span in took) == 0
+        kinds = {reply if reply == b"ok" else str(reply).split()[0] for reply in replies}
+        assert b"ok" in kinds and kinds <= {b"ok", "BUSY"}  # crowded, or its quota: 100 a second
+        assert process.returncode is None
+
+
 @asyncio_test
 async def test_resting_and_new_clients_of_a_process_that_ends_are_answered_or_see_a_clean_end(tmp_path):
     """SIGTERM, twice, with SIGHUP in between: each connection ends without a reset, though its client sends
