A value whose end is not CRLF is no value: hosts' spoilt answers were served cut off

Lines at fault: `Reader.feed` passes the declared length plus two by without a look, and hiredis drops those two bytes unseen, so a value longer than its head declares is read as whole. Ruled out: a second answer that comes late (none met a request in the trace), an idle connection with bytes in it (its look was clean), large answers (their end was looked at).

Now the end of every value is looked at, also of clients' commands; what goes on after it is no answer, and the attempt has failed.

--- a/saffrongw/resp.py
+++ b/saffrongw/resp.py
@@ -65,6 +65,9 @@
             if self.skip:
                 step = min(self.skip, len(data) - at)
                 self.skip -= step
+                if not self._ends_well(data[at : at + step]):
+                    self.wrong = "malformed end of a value"
+                    break
                 at += step
                 if self.passing:
                     self._pass(data[fed:at])
@@ -89,15 +92,20 @@
             raise hiredis.ProtocolError(self.wrong)
         return value
 
+    def _ends_well(self, data: bytes) -> bool:
+        """Whether what these bytes hold of a value's end belongs there. The parser drops those two bytes
+        unseen: a value longer or shorter than its head declares would pass for one that somebody made."""
+        come = len(CRLF) - self.skip  # bytes of the end that have come with these; none: it is still to come
+        end = data[-min(come, len(data)) :] if come > 0 else b""
+        return end == CRLF[come - len(end) : come]
+
     def _pass(self, data: bytes) -> None:
         large = self.passing
-        piece, rest = data[: large.left], data[large.left :]
+        piece = data[: large.left]
         self.passed += len(data)
         if piece:
             large.left -= len(piece)
             large.pieces.append(piece)
-        if rest != CRLF[len(CRLF) - self.skip - len(rest) : len(CRLF) - self.skip]:
-            self.wrong = "malformed end of a value"
         if not self.skip:
             self.passing = None
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -119,11 +119,13 @@
         b"*2147483647\r\n",
         b"*3\r\n$4000000000\r\n",
         b"HTTP/1.1 200 OK\r\n",
+        b"*3\r\n$4\r\nabcdef$-1\r\n$-1\r\n",  # its value is longer than its head says
+        b"*3\r\n$4\r\nab\r\n$-1\r\n$-1\r\n",  # or shorter
         b"*999\r\n" + (b"$65536\r\n%b\r\n" % (b"x" * 65536)) * 3,
     ],
 )
 @asyncio_test
-async def test_an_answer_that_is_or_declares_more_than_any_holds_is_a_failed_attempt_at_once(junk):
+async def test_an_answer_that_no_host_makes_is_a_failed_attempt_at_once(junk):
     hosts = [await FakeHost(name).listen() for name in "ab"]
     replies = [junk, b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n"]
     for host in hosts:
