Of a client whose connection has ended nothing more is carried out, however much of it waits here

Lines at fault: `Client._read` and `_go_on`, which look at the stage alone: a piece is carried out in turns of 64 commands, the transport closes on a failed write within the first, and what is left goes on. Where pings come next that ends in the exception; where requests come next they were taken on, spent the customer's quota and were sent to hosts for a client that had gone, and nobody ended them.

Ruled out: that `connection_lost` comes first (it does not clear what the reader holds, nor the call that is due). Now the transport's own state is asked before each command and each write. The test (end or reset, with pings or requests next) fails without it in all four cases.

--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -268,9 +268,13 @@
 
     def write(self, data: bytes) -> None:
         """Send something, where there is still a way."""
-        if self.stage is not Stage.SHUT:
+        if self.stage is not Stage.SHUT and not self.transport.is_closing():
             self.transport.write(data)
 
+    def _takes_commands(self) -> bool:
+        """Whether what has come is carried out: for who is gone nothing is, however much of it waits here."""
+        return self.stage is Stage.OPEN and not self.transport.is_closing()
+
     def data_received(self, data: bytes) -> None:
         """Commands, or parts of them."""
         if self.stage is not Stage.OPEN:
@@ -285,10 +289,10 @@
     def _read(self) -> None:
         """Carry out what has come whole, as long as there is room for its answers."""
         whole, turn = False, 0
-        if self.stage is not Stage.OPEN:
+        if not self._takes_commands():
             return None
         try:
-            while self.stage is Stage.OPEN:
+            while self._takes_commands():
                 if self._full():
                     return self._hold()
                 if turn >= TURN_MOST:
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -17,7 +17,7 @@
 from test_large import answer, post
 
 from saffrongw import clients as clients_module
-from saffrongw.clients import SURPLUS_MOST, WHOLE_WITHIN, Client, Stage
+from saffrongw.clients import SURPLUS_MOST, TURN_MOST, WHOLE_WITHIN, Client, Stage
 from saffrongw.hosts import REST
 
 PING = hiredis.pack_command((b"PING",))
@@ -363,6 +363,27 @@
     assert [host.out for host in gateway.hosts.values()] == [0]
 
 
+@pytest.mark.parametrize("pings", [TURN_MOST, 2 * TURN_MOST])
+@pytest.mark.parametrize("leave", [socket.socket.close, reset])
+@asyncio_test
+async def test_what_a_client_sent_in_one_piece_before_it_left_is_not_carried_out_after(leave, pings):
+    """A piece is read in turns; between two of them the connection may have ended under what is left."""
+    host = await FakeHost("a").listen()
+    rig, faults = Rig(host), []
+    rig.loop.set_exception_handler(lambda loop, context: faults.append(context))
+    plain, client = await connected(rig)
+    plain.send(PING * pings + b"".join(request(number, b"bill") for number in range(1, 9)))
+    leave(plain.sock)
+    await until(lambda: client not in rig.clients.open)
+    other, _ = await connected(rig)
+    other.send(request(99, b"bill"))
+    assert await other.read(8) == b"$2\r\nok\r\n"
+    assert [command[2] for command in host.commands] == [b"id99"]
+    assert rig.driver.stats["requests"] == 1
+    assert rig.driver.calls == {} == rig.driver.gateway.requests
+    assert faults == []
+
+
 # -- neighbours
 
 
