Watch on discovery: no try begins later than 4 s after the one before, refused or not

A change counts as told 6 s after discovery had it and could be reached, whatever came before: the new term goes before older ones. Lines at fault: `_in_time`, which let a pause grow to 8 s (or twice the spread, 60 s for 200 gateways) once the 4 s after the last *answer* were past; `_ask`, which gave an overbooked discovery 9 s then; `span_of`, which put off the first call of 200 gateways by up to 30 s.

Now the clock runs from the beginning of each try, whatever becomes of it. The test over 800 random sequences owed 14 s where discovery refuses calls; it owes 6 s now in all of them and fails without the mend. The test of the spread over a fleet asked for at most 13 first calls a second at 40 and 60 gateways; that can't be had within 6 s beyond 27 gateways, so it now asks for that rate up to there, for no more than twice an even share beyond, and for every first call within 4 s, at 230 gateways as well. Whether a discovery that is asked bears 200 gateways at this pace has not been played: no deployment here has one.

--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -18,16 +18,16 @@
 WAIT = 2.0  # seconds that a call may wait for news: until then nothing tells a quiet agent from a hung one
 ANSWER_WITHIN = 1.0  # seconds beyond that: a silent agent is tried anew
 TOLD_WITHIN = 6.0  # seconds after which what discovery has to tell counts as told, whether it came or not
-CALLED_WITHIN = TOLD_WITHIN - 2.0  # after an answer the next try begins: it has to connect and be answered
+# Between the beginnings of two tries, whatever becomes of the first: the second has to be answered as well.
+CALLED_WITHIN = TOLD_WITHIN - 2.0
 LIST_MOST = 4 * 1024 * 1024  # bytes of an answer: guards memory against one that never ends
 BACK_OFF, BACK_OFF_MOST = 0.05, 1.0  # seconds before connecting again, doubled with each failure
 CONNECT_WITHIN = 1.0
 # Discovery may be overbooked: then calls wait in turn there, and too many of them are all in vain. A watch
 # that goes on costs it nothing, a new one a call and what changed, a whole list every line.
-PACE, PACE_MOST = 0.5, 8.0  # seconds between two calls after it refused one, doubled with each more
+PACE = 0.5  # seconds between two calls after it refused one, doubled with each more, to CALLED_WITHIN
 RELIEF = 0.7  # of the pace that is left after an answer, for the next time
 CALLS_APART = 0.15  # seconds on average between the first calls of a fleet that starts together
-PATIENCE = 3.0  # times as long an answer may take then, within CALLED_WITHIN
 
 # What an answer that makes no sense raises.
 ODD = (ValueError, KeyError, TypeError, AttributeError, ArithmeticError, RecursionError, h11.ProtocolError)
@@ -35,7 +35,7 @@
 
 def span_of(gateways: int, asked: bool) -> float:
     """Seconds over which a fleet spreads its first calls; asked: discovery does work for each of them."""
-    return CALLS_APART * (gateways - 1) if asked else 0.0
+    return min(CALLED_WITHIN, CALLS_APART * (gateways - 1)) if asked else 0.0
 
 
 class Exchange(asyncio.Protocol):
@@ -146,7 +146,7 @@
         self.spread = spread  # seconds that the first calls of the whole fleet take together
         self.back_off = BACK_OFF
         self.pace = 0.0  # seconds to the next call where discovery refuses one; 0: it is not overbooked
-        self.due = 0.0  # by then the next try begins: what is missed counts as told soon after
+        self.due = 0.0  # by then the next try begins: what this one misses counts as told soon after
         self.exchange: Exchange | None = None
         self.reached: bool | None = None  # whether the last try to connect came up; None: there was none
         self.timer: asyncio.TimerHandle | None = None
@@ -160,6 +160,7 @@
     def start(self) -> None:
         """Connect and call."""
         self.drop()
+        self.due = self.loop.time() + CALLED_WITHIN
         self._wait(CONNECT_WITHIN, self._too_late)
         self.exchange = Exchange(self)
 
@@ -168,7 +169,6 @@
         if address == self.address:
             return
         self.address, self.version, self.back_off, self.pace = address, None, BACK_OFF, 0.0
-        self.due = 0.0
         self.start()
 
     def drop(self) -> None:
@@ -186,15 +186,13 @@
     def _later(self) -> None:
         """Connect anew after a short while."""
         self.drop()
-        span = max(self.back_off, self.pace)
-        self._wait(self._in_time(span * (1 + self.draw()) / 2, BACK_OFF), self.start)
+        self._wait(self._in_time(max(self.back_off, self.pace)), self.start)
         self.back_off = min(BACK_OFF_MOST, 2 * self.back_off)
 
-    def _in_time(self, span: float, least: float = 0.0) -> float:
-        """A span, cut so that the next try comes before what it brings counts as told; once that time is
-        past, nothing is won by haste."""
-        left = self.due - self.loop.time() if self.due else 0.0
-        return min(span, max(least, left)) if left > 0 else span
+    def _in_time(self, span: float) -> float:
+        """A part of a span, drawn so that a fleet does not call in step, and cut so that the next try comes
+        before what this one missed counts as told."""
+        return min(span * (1 + self.draw()) / 2, max(BACK_OFF, self.due - self.loop.time()))
 
     # -- what happens ---------------------------------------------------------------------------------------
 
@@ -211,13 +209,13 @@
 
     def strained(self) -> None:
         """It refused a call, or left it without an answer: fewer calls from now on."""
-        self.pace = min(max(PACE_MOST, 2 * self.spread), max(PACE, self.spread, 2 * self.pace))
+        self.pace = min(CALLED_WITHIN, max(PACE, self.spread, 2 * self.pace))
 
     def refused(self, again: bool) -> None:
         """It is overbooked: the same call later, on the same connection where that is kept."""
         self.strained()
         if again:
-            self._wait(self._in_time(self.pace * (1 + self.draw()) / 2), self._ask)
+            self._wait(self._in_time(self.pace), self._call_again)
         else:
             self._later()
 
@@ -228,14 +226,19 @@
         self.reached = True
         self._ask()
 
+    def _call_again(self) -> None:
+        """The next try, on the connection of the one before."""
+        self.due = self.loop.time() + CALLED_WITHIN
+        self._ask()
+
     def _ask(self) -> None:
         """What is newer than the list held, waited for at discovery; without one the whole list."""
         target, within = PATH, self.answer_within
         if self.version is not None:
             target = f"{PATH}?index={self.version}&wait={int(self.wait * 1000)}"
             within += self.wait
-        if self.pace:
-            within = max(within, self._in_time(within * PATIENCE) - BACK_OFF)
+        if self.pace:  # it is overbooked: an answer may take all the time there is
+            within = max(within, self.due - BACK_OFF - self.loop.time())
         self._wait(within, self._silent)
         self.exchange.call(target, ":".join(map(str, self.address)))
 
@@ -247,11 +250,10 @@
         """Call again at once where the connection is kept, so that the watch stands, then pass on what was
         told. A version that went back is of another list than ours."""
         self.back_off, self.pace = BACK_OFF, self.pace * RELIEF if self.pace > PACE else 0.0
-        self.due = self.loop.time() + CALLED_WITHIN
         back = not listed.whole and self.version is not None and listed.version < self.version
         self.version = None if back else listed.version
         if again:
-            self._ask()
+            self._call_again()
         else:
             self._later()
         if listed.odd:
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -160,7 +160,7 @@
 @asyncio_test
 async def test_an_overbooked_discovery_is_called_ever_less_and_the_watch_goes_on_once_it_answers(monkeypatch):
     monkeypatch.setattr(discovery, "PACE", 0.1)
-    monkeypatch.setattr(discovery, "PACE_MOST", 0.8)
+    monkeypatch.setattr(discovery, "CALLED_WITHIN", 0.8)
     whole = {"seq": 5, "whole": True, "hosts": [line("a")]}
     empty = {"seq": 5, "whole": False, "hosts": []}
     agent, told = await watched([503] * 5 + [whole] + [empty] * 9)
@@ -205,10 +205,11 @@
     assert told[0].whole
 
 
-def test_the_first_calls_of_a_fleet_are_spread_over_a_span_that_grows_with_it():
-    """40 calls at once were more than discovery answers in time: 25 failed, and again with each try."""
+def test_the_first_calls_of_a_fleet_are_spread_over_a_span_that_grows_with_it_up_to_what_is_owed():
+    """40 calls at once were more than discovery answers in time: 25 failed, and again with each try. But who
+    starts is owed nothing later than who runs: what it does not ask for in time counts as told."""
     moments: dict[int, list[float]] = {}
-    for gateways in (1, 3, 40, 60):
+    for gateways in (1, 3, 20, 40, 230):
         spread = span_of(gateways, asked=True)
         for seed in range(gateways):
             spans: set[float] = set()
@@ -217,9 +218,11 @@
             moments.setdefault(gateways, []).extend(spans)
     assert moments[1] == [0.0]
     assert max(moments[3]) < 0.5
-    for gateways in (40, 60):
+    for gateways in (20, 40, 230):
+        assert max(moments[gateways]) <= discovery.CALLED_WITHIN
+        evenly = max(1 / discovery.CALLS_APART, gateways / discovery.CALLED_WITHIN)  # in a second
         most = max(sum(at <= m < at + 1 for m in moments[gateways]) for at in moments[gateways])
-        assert most <= 2 / discovery.CALLS_APART
+        assert most <= 2 * evenly
     assert span_of(60, asked=False) == 0.0
 
 
@@ -227,6 +230,7 @@
     spans = set()
     for seed in range(8):
         watch = Watch(Later(spans), ("127.0.0.1", 1), ZONES, list, draw=random.Random(seed).random)
+        watch.due = discovery.CALLED_WITHIN  # a try has begun just now
         watch.strained()
         watch._later()
     assert len(spans) == 8
@@ -239,6 +243,9 @@
     def __init__(self, spans: set[float]) -> None:
         self.spans = spans
 
+    def time(self) -> float:
+        return 0.0
+
     def call_later(self, span: float, *call) -> None:
         self.spans.add(span)
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -164,8 +164,6 @@
     """After 60 events of any kind in any order, on connections given up as well, it is never left with
     neither; and an agent that answers again is heard in time."""
     pieces = [*PIECES.values(), *(REFUSALS.values() if refuses else ())]
-    # Where discovery refuses calls, a try that was put off may take the longest pace more.
-    within = TOLD_WITHIN + (discovery.PACE_MOST if refuses else 0)
     for seed in range(400):
         draw = random.Random(seed)
         world = World(seed)
@@ -191,7 +189,7 @@
             assert len(world.pending()) == 1
             state = world.watch.exchange
             assert state is None or state.transport is None or not state.transport.aborted
-        healthy_until_told(world, within)
+        healthy_until_told(world, TOLD_WITHIN)
 
 
 @pytest.mark.parametrize("refusals", [0, 1, 3, 6])
