Right before an attempt is written the client's socket is asked whether it has closed

Lines: `Driver._send` and `Pool._next`, the only two that lead to `Connection.begin`.

One poll of the socket for each of them, none elsewhere; the look each 0.2 s stays, it frees what is held. Not taken: looking more often, which costs a poll a connection and still leaves the gap. Four crossings (a request decided on, or a connection that has rested, with an end or a reset unread) fail without it.

--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -155,6 +155,10 @@
         self.source = None
         self.client.flush()
 
+    def has_left(self) -> bool:
+        """Whether the client has closed: its end may wait in the socket."""
+        return self.client.transport.is_closing() or self.client.has_ended()
+
     def fail(self) -> None:
         """The rest will never come: the client must not take what there is for an answer."""
         self.source = None
@@ -336,7 +340,7 @@
             self.transport.abort()  # a close would wait for the client
         if self.stage is Stage.SHUT:
             return
-        if self.held and self._has_ended():
+        if self.held and self.has_ended():
             self.clients.driver.stats["client_gone_unread"] += 1
             self.transport.abort()
         elif self.held:
@@ -512,8 +516,8 @@
         except (OSError, ValueError):
             return False  # it can't be asked, or is closing
 
-    def _has_ended(self) -> bool:
-        """Whether a client that is not read from has closed: its end waits behind what it sent."""
+    def has_ended(self) -> bool:
+        """Whether a client has closed, though nothing is read from it: its end waits behind what it sent."""
         if self.transport.is_closing():
             return False
         look = select.poll()
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -73,6 +73,9 @@
     def fail(self) -> None:
         """The rest will never come."""
 
+    def has_left(self) -> bool:
+        """Whether the client has closed its connection, seen by the loop or not."""
+
 
 Body = tuple[bytes, ...]  # a large one, in the pieces that it came in
 
@@ -86,7 +89,7 @@
     parts: tuple[bytes | Body, ...]
     until: int  # clock time by which it must be answered
     answer: Callable[[bytes], None]
-    sink: Sink | None = None  # takes a large answer
+    sink: Sink | None = None  # takes a large answer, and knows whether the client is there; None: a relay's
     attempts: list[Attempt] = field(default_factory=list)
     guard: asyncio.TimerHandle | None = None
     finished: bool = False
@@ -236,6 +239,14 @@
             for attempt in call.attempts:  # what has not left whole must not leave any more
                 self._withdraw(attempt)
 
+    def is_wanted(self, attempt: Attempt) -> bool:
+        """Asked right before an attempt is written: for a client that has closed nothing begins any more,
+        though the loop, where it is behind, has still to come to see it."""
+        call = attempt.call
+        if not call.finished and call.sink and call.sink.has_left():
+            self.client_gone(call)  # which ends the attempt
+        return not attempt.ended
+
     def attempt_ended(
         self,
         attempt: Attempt,
@@ -406,7 +417,8 @@
             attempt.timer = self._at(give_up_at, self._timed_out, attempt)
         if self.heir:
             self.heir.told(api.AttemptElsewhere(call.event, attempt.number, attempt.server, now))
-        self.hosts.send(attempt)
+        if self.is_wanted(attempt):
+            self.hosts.send(attempt)
 
     def _cancel(self, action: api.Cancel) -> None:
         call = self.calls.get(action.request)
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -305,9 +305,10 @@
         """The attempt that waits longest. Guards rule 2: one that may not be sent any more never was."""
         while self.waiting:
             attempt = self.waiting.popleft()
-            if not attempt.send_by or self.hosts.driver.clock() < attempt.send_by:
+            if attempt.send_by and self.hosts.driver.clock() >= attempt.send_by:
+                self.hosts.driver.attempt_ended(attempt, api.Outcome.NOT_CONNECTED)
+            elif self.hosts.driver.is_wanted(attempt):
                 return attempt
-            self.hosts.driver.attempt_ended(attempt, api.Outcome.NOT_CONNECTED)
         return None
 
     def close_idle(self, before: float) -> None:
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import socket
+from collections.abc import Callable
 
 import hiredis
 import pytest
@@ -16,6 +17,7 @@
 from test_host_links import Gate, arrived, reset
 from test_large import answer, post
 
+from orchidlane import interface as api
 from saffrongw import clients as clients_module
 from saffrongw.clients import SURPLUS_MOST, TURN_MOST, WHOLE_WITHIN, Client, Stage
 from saffrongw.hosts import REST
@@ -363,6 +365,58 @@
     assert [host.out for host in gateway.hosts.values()] == [0]
 
 
+async def decided(rig: Rig, plain: Plain) -> Callable[[], None]:
+    """A request that waits for a host is sent to one, on a connection that is there."""
+    (idle,) = rig.hosts.pools[b"a"].idle
+    await until(lambda: rig.loop.time() - idle.idle_since > 2 * REST)
+    rig.told(rig.line | {"health": "DRAINING"})
+    plain.send(request(1, b"bill"))
+    await until(lambda: rig.driver.calls)
+    (number,) = rig.driver.calls
+
+    def go_on() -> None:
+        rig.told(rig.line)
+        rig.driver.feed(api.TimerFired(number + 1))
+
+    return go_on
+
+
+async def rested(rig: Rig, plain: Plain) -> Callable[[], None]:
+    """A request that waits for a connection gets the one that has rested by now."""
+    pool = rig.hosts.pools[b"a"]
+    Gate(rig, pool.address[1])
+    plain.send(request(1, b"bill"))
+    await until(lambda: pool.waiting)
+    pool.idle[0].idle_since -= REST
+    return pool._serve
+
+
+@pytest.mark.parametrize("leave", [socket.socket.close, reset])
+@pytest.mark.parametrize("wait", [decided, rested])
+@asyncio_test
+async def test_nothing_is_sent_for_a_client_whose_end_the_loop_has_not_come_to_see(wait, leave):
+    """Its turn to be sent comes before that of the socket, in which the client's end waits."""
+    host = await FakeHost("a").listen()
+    rig = Rig(host)
+    rig.line = host.line()
+    plain, client = await connected(rig)
+    plain.send(request(0, b"bill"))
+    assert await plain.read(8) == b"$2\r\nok\r\n"
+    go_on = await wait(rig, plain)
+    leave(plain.sock)
+    arrived(fileno(client))
+    go_on()
+    assert not rig.driver.calls or all(call.finished for call in rig.driver.calls.values())
+    other, _ = await connected(rig)
+    other.send(request(99, b"bill"))
+    assert await other.read(8) == b"$2\r\nok\r\n"
+    assert [command[2] for command in host.commands] == [b"id0", b"id99"]
+    assert rig.driver.stats["client_gone"] == 1
+    gateway = rig.driver.gateway
+    await until(lambda: gateway.requests == gateway.attempts == {})
+    assert [known.out for known in gateway.hosts.values()] == [0]
+
+
 @pytest.mark.parametrize("pings", [TURN_MOST, 2 * TURN_MOST])
 @pytest.mark.parametrize("leave", [socket.socket.close, reset])
 @asyncio_test
