The list service tells who asks of all gateways of its cluster, not of sixteen

Every list in the tree was read for a cap: the one found was `TOLD_MOST` = 16 in registry/meeting.py, with the 64 KiB that `saffrongw/meeting.py` reads of an answer, which some 900 gateways would have filled. Ruled out: settings, peers, hosts' names (4,096), rows of members (pages), an operator's table (128 KiB), greetings still out (256: a bound on questions, one is asked each 0.5 s).

--- a/registry/meeting.py
+++ b/registry/meeting.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -15,8 +14,7 @@
 
 from .entries import LEASE_LEAST, address, fields, name, whole_number
 
-TOLD_MOST = 16  # addresses in an answer, those left last
-KEPT_MOST = 4_096  # over all clusters
+KEPT_MOST = 4_096  # over all clusters: bounds an answer as well, to some 300 KB
 RANK_MOST = 65_535
 LEASE_MOST = 300_000  # milliseconds
 
@@ -64,7 +62,7 @@
             for (of, other), seat in self.seats.items()
             if of == cluster and seat.until > now and (other != rank or is_elder)
         ]
-        told = heapq.nlargest(TOLD_MOST, others, key=lambda seat: (seat.rank == rank, seat.left))
+        told = sorted(others, key=lambda seat: (seat.rank == rank, seat.left), reverse=True)
         return {"gateways": [{"rank": s.rank, "life": s.life, "dial": s.dial} for s in told]}
 
     def _forget(self, now: float) -> None:
--- a/saffrongw/meeting.py
+++ b/saffrongw/meeting.py
@@ -21,7 +21,7 @@
 LEASE = 30.0  # seconds that the list service keeps an address for
 EVERY, SOON = LEASE / 3, 1.0  # seconds between two calls; while nobody is known
 WITHIN = 2.0  # seconds for an answer
-BODY_MOST = 65_536  # bytes of one
+BODY_MOST = 1024 * 1024  # bytes of one: several thousand gateways
 
 
 class Meeting:
