A host put back by hand is tried by the fleet as often as a cold one bears, not by each gateway

Lines at fault: `_server_banned` and `_one_back`, whose BACK_SPREAD was capped at half of BACK_FOR. Ruled out: the draw of `_cold_one` (its share is kept), repeats (they go to warm hosts), gateways that had not been told (they don't count).

Now a gateway leaves the host to the others for (gateways - 1) x overloadFor / 4, drawn: four tries in the time in which a cold host may fall, from the settings, whatever the size.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -48,7 +48,7 @@
 KEPT_FOR = 5 * SECOND  # a connection is taken to stay open so long after its last answer
 SPREAD = 0.1  # random part of a comparison, against herding of gateways
 BACK_FOR, BACK_EVERY = 5 * SECOND, SECOND  # a server put back is tried until it served / so often
-BACK_SPREAD = 50 * MS  # for each gateway: all of them together don't try it at once
+BACK_TRIES = 4  # of all gateways in the time in which a cold server may fall: it comes back cold
 COLD_CARE = 0.9  # of the fair share of a cold server's least capacity that is used
 
 # Attempts
@@ -203,10 +203,14 @@
             if self.now >= until:
                 del self.returned[server]
             elif self.now >= after and (host := self.hosts.get(server)) and self._may_send(request, host):
-                self.returned[server] = until, self.now + BACK_EVERY
+                self.returned[server] = until, self.now + max(BACK_EVERY, self._back_apart())
                 return host
         return None
 
+    def _back_apart(self) -> int:
+        """Rule 4: how long a gateway leaves a server that was put back to all the others."""
+        return (self.s.gateways - 1) * self.s.overload_for // BACK_TRIES
+
     def _cold_one(self, request: Request) -> Host | None:
         """Rule 4: each attempt draws one of all servers; a cold one serves as often as it can."""
         while self.warming and self._is_warm(self.warming[0]):
@@ -307,7 +311,7 @@
             self.ban(event.server)
         elif event.server in self.banned:
             self._use(self.lift_ban(event.server))
-            after = self.now + int(self.random.random() * min(BACK_FOR / 2, self.s.gateways * BACK_SPREAD))
+            after = self.now + int(self.random.random() * self._back_apart())
             self.returned[event.server] = self.now + BACK_FOR, after
 
     def _expected(self, host: Host, kind: int) -> float:
