Test: each request has one timer due by its time and each attempt one owner, over random events

The suspect "waits without an owner", stated as an invariant and looked at after each of 400 events in 80 worlds: clients cut anywhere, junk, unread answers, leaves; hosts that come up late or never, answer in part, wrongly, twice or not at all; lists that change; a loop up to 0.2 s behind. Every request without its answer has a pending timer due by its time; every attempt without its end is on a busy connection or waits in a pool, in which no more wait than connections are opening; after 20 s without an event nothing is left, and each request was answered once, none later than the loop was behind.

--- /dev/null
+++ b/tests/test_owed.py
@@ -0,0 +1,304 @@
+"""Every request that is taken on has one timer that ends it no later than its time, whatever happens.
+
+The gateway's own parts run in virtual time over random events: clients that are cut anywhere, send junk,
+don't read or leave; hosts that come up late or never, answer in part, wrongly, twice or not at all; lists
+that change; a loop that is behind."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import random
+import socket
+from collections import Counter
+from collections.abc import Callable
+
+import hiredis
+import pytest
+from conftest import SITE, FakeHost
+
+from saffrongw import config
+from saffrongw.clients import Client, Clients
+from saffrongw.driver import Attempt, Call, Driver
+from saffrongw.hosts import Connection, Hosts, Stage
+
+EVENTS = 400
+BEHIND = 0.2  # seconds that the loop may be behind
+KINDS = (b"read", b"put", b"bill")
+COVERED: Counter[str] = Counter()
+
+
+class Timer:
+    """A call that is due."""
+
+    def __init__(self, when: float, call: Callable, words: tuple) -> None:
+        self.when, self.call, self.words, self.pending = when, call, words, True
+
+    def cancel(self) -> None:
+        self.pending = False
+
+
+class Loop:
+    """A clock of its own; connections are begun, and come up or not as the test likes."""
+
+    def __init__(self) -> None:
+        self.now, self.timers, self.opening = 100.0, [], []
+
+    def time(self) -> float:
+        return self.now
+
+    def call_later(self, span: float, call: Callable, *words) -> Timer:
+        timer = Timer(self.now + max(0.0, span), call, words)
+        self.timers.append(timer)
+        return timer
+
+    def call_soon(self, call: Callable, *words) -> Timer:
+        return self.call_later(0.0, call, *words)
+
+    def create_task(self, coroutine) -> Timer:
+        self.opening.append(coroutine.cr_frame.f_locals["self"])
+        coroutine.close()
+        return Timer(0.0, lambda: None, ())
+
+    def run(self, until: float) -> None:
+        """All that is due by then, in its order."""
+        while due := [timer for timer in self.timers if timer.pending and timer.when <= until]:
+            first = min(due, key=lambda timer: timer.when)
+            first.pending = False
+            self.now = max(self.now, first.when)
+            first.call(*first.words)
+        self.timers = [timer for timer in self.timers if timer.pending]
+        self.now = max(self.now, until)
+
+
+class Wire:
+    """A transport whose other end is the test."""
+
+    quiet = socket.socketpair()  # nothing ever waits in it
+
+    def __init__(self, loop: Loop, protocol: Client | Connection) -> None:
+        self.loop, self.protocol, self.closing, self.unsent, self.sent = loop, protocol, False, 0, b""
+        self.ended = False
+
+    def write(self, data: bytes) -> None:
+        assert not self.closing and not self.ended
+        self.sent += data
+
+    def write_eof(self) -> None:
+        self.ended = True
+
+    def abort(self, error: Exception | None = None) -> None:
+        if not self.closing:
+            self.closing = True
+            self.loop.call_soon(self.protocol.connection_lost, error)
+
+    def is_closing(self) -> bool:
+        return self.closing
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
+    def get_extra_info(self, name: str) -> socket.socket:
+        return self.quiet[0]
+
+    def set_write_buffer_limits(self, high: int) -> None:
+        """It is all one here."""
+
+    pause_reading = resume_reading = lambda self: None
+
+
+class World:
+    """One gateway with its clients and hosts, and what each request that it took on came to."""
+
+    def __init__(self, seed: int) -> None:
+        self.loop, self.random, self.numbers = Loop(), random.Random(seed), itertools.count(1)
+        self.lines = []
+        for name in "abc":
+            host = FakeHost(name)
+            host.port = ord(name)
+            self.lines.append(host.line())
+        text = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": f"{seed:x}"}
+        permissions = SITE["permissions"] | {"cancel": seed % 2 == 0, "secondCopies": seed % 3 == 0}
+        text |= {"limits": {"sockets": 24}, "settings": SITE | {"permissions": permissions}}
+        text |= {"known": {"seq": 1, "whole": True, "hosts": self.lines}}
+        made = config.parse(json.dumps(text))
+        self.driver = Driver(made.settings, made.seed, self.loop)
+        self.started = self.driver.gateway.filled
+        self.driver.clock = lambda: self.started + round((self.loop.now - 100.0) * 1e6)
+        self.hosts = self.driver.hosts = Hosts(self.driver, (), 24, 2.0, 0.25)
+        self.driver.start(made.known)
+        self.clients = Clients(self.driver, made, 12)
+        self.clients._look()
+        self.zones = made.zones
+        self.answers: dict[Call, list[float]] = {}
+        self.gone: set[Call] = set()
+        self.behind = 0.0
+        arrived, client_gone = self.driver.arrived, self.driver.client_gone
+
+        def taken(terms, parts, answer, sink=None) -> Call:
+            times: list[float] = []
+            call = arrived(terms, parts, lambda reply: (times.append(self.loop.now), answer(reply)), sink)
+            self.answers[call] = times
+            return call
+
+        def left(call: Call, unseen: float = 0.0) -> None:
+            self.gone.add(call)
+            client_gone(call, unseen)
+
+        self.driver.arrived, self.driver.client_gone = taken, left
+        self.wires: list[Wire] = []  # of clients
+        self.to_send: dict[Wire, bytes] = {}
+        self.links: list[Wire] = []  # to hosts
+
+    # -- what clients do
+
+    def client_comes(self) -> None:
+        client = Client(self.clients)
+        wire = Wire(self.loop, client)
+        client.connection_made(wire)
+        self.wires.append(wire)
+        self.to_send[wire] = b""
+
+    def client_sends(self) -> None:
+        if wire := self._one([wire for wire in self.wires if not wire.closing]):
+            while len(self.to_send[wire]) < 200:
+                self.to_send[wire] += self._command()
+            cut = self.random.choice((1, 7, 60, 200, 10_000))
+            piece, self.to_send[wire] = self.to_send[wire][:cut], self.to_send[wire][cut:]
+            wire.protocol.data_received(piece)
+
+    def _command(self) -> bytes:
+        odd = self.random.random()
+        if odd < 0.02:
+            return self.random.choice((b"GET / HTTP/1.1\r\n\r\n", b"*3000000000\r\n", b"$4\r\nabcdef"))
+        if odd < 0.1:
+            return self.random.choice((b"*1\r\n$4\r\nPING\r\n", b"*2\r\n$1\r\na\r\n$1\r\nb\r\n"))
+        kind = self.random.choice(KINDS)
+        wait = self.random.choice((20, 200, 900, 3000))
+        terms = b"c=%b,t=team,d=%d,k=x,units=1,spread=2,first=0" % (kind, wait)
+        words = (b"%016x" % self.random.randrange(9), b"id%d" % next(self.numbers), terms)
+        if kind == b"read":
+            return hiredis.pack_command((b"CALL.GET", *words))
+        return hiredis.pack_command((b"CALL.POST", *words, b"BODY"))
+
+    def client_leaves(self) -> None:
+        if wire := self._one([wire for wire in self.wires if not wire.closing]):
+            wire.abort(self.random.choice((None, ConnectionResetError())))
+
+    def client_does_not_read(self) -> None:
+        if wire := self._one([w for w in self.wires if not w.closing and not w.unsent]):
+            wire.unsent = 70_000
+            wire.protocol.pause_writing()
+
+    def client_reads_again(self) -> None:
+        if wire := self._one([wire for wire in self.wires if not wire.closing and wire.unsent]):
+            wire.unsent = 0
+            wire.protocol.resume_writing()
+
+    # -- what hosts do
+
+    def connection_comes_up(self) -> None:
+        if self.loop.opening:
+            link = self.loop.opening.pop(self.random.randrange(len(self.loop.opening)))
+            wire = Wire(self.loop, link)
+            link.connection_made(wire)
+            self.links.append(wire)
+
+    def connection_is_refused(self) -> None:
+        if self.loop.opening:
+            link = self.loop.opening.pop(self.random.randrange(len(self.loop.opening)))
+            link.pool.failed(link)
+
+    def host_answers(self) -> None:
+        if wire := self._one([wire for wire in self.links if not wire.closing]):
+            good = b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n"
+            odd = [
+                b"-BUSY\r\n",
+                b"-ERR failed\r\n",
+                good[:9],
+                good * 2,
+                b"+x\r\n",
+                good.replace(b"ok", b"okok"),
+            ]
+            wire.protocol.data_received(good if self.random.random() < 0.6 else self.random.choice(odd))
+
+    def host_resets(self) -> None:
+        if wire := self._one([wire for wire in self.links if not wire.closing]):
+            wire.abort(ConnectionResetError())
+
+    def list_changes(self) -> None:
+        health = self.random.choice(("SERVING", "SERVING", "DRAINING", "DELETED"))
+        line = self.random.choice(self.lines) | {"health": health}
+        raw = {"seq": next(self.numbers), "whole": False, "hosts": [line]}
+        self.driver.listed(config.parse_hosts(raw, self.zones))
+
+    def time_passes(self) -> None:
+        self.loop.run(self.loop.now + self.random.choice((0.0, 0.001, 0.02, 0.2)))
+
+    def loop_is_behind(self) -> None:
+        """Time has gone by, and nothing that was due has run yet."""
+        self.loop.now += self.random.random() * BEHIND
+
+    def _one(self, some: list) -> Wire | None:
+        return self.random.choice(some) if some else None
+
+    # -- what is owed
+
+    def check(self) -> None:
+        """Each request without its answer has its one timer, due by its time; each attempt one owner."""
+        for call in self.driver.calls.values():
+            if not call.finished:
+                until = (call.until - self.started) / 1e6 + 100.0
+                assert call.guard.pending and call.guard.when <= until + 0.0021
+                COVERED["waiting, sent" if call.attempts else "waiting, not sent"] += 1
+            for attempt in call.attempts:
+                assert attempt.ended or self._has_owner(attempt)
+        for pool in self.hosts.pools.values():
+            opening = [
+                link for link in self.loop.opening if link.pool is pool and link.stage is Stage.OPENING
+            ]
+            assert len(pool.waiting) <= len(opening)
+
+    def _has_owner(self, attempt: Attempt) -> bool:
+        """Whether an attempt without its end is on a connection, or waits for one."""
+        if isinstance(attempt.link, Connection):
+            return attempt.link.stage is Stage.BUSY and attempt.link.attempt is attempt
+        return attempt in attempt.link.waiting
+
+
+WHAT = {
+    World.client_comes: 4,
+    World.client_sends: 20,
+    World.client_leaves: 2,
+    World.client_does_not_read: 1,
+    World.client_reads_again: 2,
+    World.connection_comes_up: 10,
+    World.connection_is_refused: 1,
+    World.host_answers: 10,
+    World.host_resets: 1,
+    World.list_changes: 1,
+    World.time_passes: 10,
+    World.loop_is_behind: 1,
+}
+
+
+@pytest.mark.parametrize("seeds", [range(first, first + 20) for first in range(0, 80, 20)], ids=str)
+def test_whatever_happens_each_request_taken_on_is_answered_once_and_in_its_time(seeds):
+    for seed in seeds:
+        world = World(seed)
+        for _ in range(EVENTS):
+            (event,) = world.random.choices(list(WHAT), WHAT.values())
+            event(world)
+            world.check()
+        world.loop.run(world.loop.now + 20.0)  # nothing comes any more
+        assert world.driver.calls == world.driver.gateway.requests == world.driver.gateway.attempts == {}
+        assert world.hosts.sockets == sum(len(pool.idle) for pool in world.hosts.pools.values())
+        for call, times in world.answers.items():
+            assert len(times) == (0 if call in world.gone and not times else 1), call
+            COVERED["gone" if call in world.gone else "answered"] += 1
+            for at in times:
+                late = at - ((call.until - world.started) / 1e6 + 100.0)
+                assert late <= BEHIND + 0.0021, (seed, call)
+                COVERED["at its last moment"] += late > -0.001
+    assert all(COVERED[what] for what in ("gone", "answered", "waiting, sent", "waiting, not sent"))
+    assert COVERED["at its last moment"]
