--- a/tests/test_registry_fleet.py
+++ b/tests/test_registry_fleet.py
@@ -1,4 +1,4 @@
-"""The list service before a fleet of 200 watchers. With ``-s`` the figures of docs/measurements.md are printed."""
+"""The list service before a fleet of 200 watchers; with ``-s`` the figures of docs/measurements.md are told."""
 
 from __future__ import annotations
 
