--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -21,49 +21,55 @@
 from orchidlane.interface import Effect
 
 from .config import Config
-from .driver import FAILED, Body, Call, Driver, Source, Terms
-from .resp import CRLF, LARGE_MOST, MARK, VALUE_MOST, Large, Reader
+from .driver import FAILED_REPLY, Body, Call, Driver, Source, Terms
+from .resp import CRLF, LARGE_VALUE_BYTES_MAX, PLACEHOLDER, VALUE_BYTES_MAX, Large, Reader
 
 log = logs.get(__name__)
 
-UNFINISHED_MOST = 2 * VALUE_MOST  # bytes of one command: a body and little else
-UNFINISHED_ALL = 64 * VALUE_MOST  # bytes of all clients' unfinished commands, to bound memory
-PIPELINE_MOST = 64  # requests open on one connection: no more is read from it meanwhile
-TURN_MOST = 64  # commands of one client that are carried out before all others have their turn
-# Connections that the system holds until they are accepted. One that finds no room there may take itself for
-# connected and hear nothing for ever; here it gets a word, or its end.
-BACKLOG = 1024
-SURPLUS_MOST = 16  # connections beyond the limit that still get a word: more are closed at once
-UNREAD_FOR = 10.0  # seconds that a client may leave its answers unread
-ID_MOST = 64  # bytes of a request's id
-WHOLE_WITHIN = 2.2  # seconds for a first command, for the rest of one, or for more of a large body
-GOES_ON_WITHIN = 0.6  # and for more of a large body that waited for room: who still sends has it at hand
-RATE_LEAST = 16 * 1024  # bytes of a large body a second, after that time
-BODY_AT = 4  # place of a command's body
-PIECE_MOST = 256 * 1024  # bytes that wait in a socket: bounds a piece
-BODIES_PART = 1 / 5  # of the memory: what all large bodies that are kept may take
-ROOM_WITHIN = (
-    1.6  # seconds that a client waits for room for its large body: in 3 s it is owed a word or an end
-)
-LINGER = 1.0  # seconds in which what a client still sends is read away, so that it gets what it was sent
-LOOK_EVERY = 0.2  # seconds between two looks at what is overdue
-UNFINISHED_FOR = 1.0  # seconds that a client stuck within a command may hold up the end
-SEEN_WITHIN = 0.6  # seconds after which the front has seen that we leave, and sends no new connections
-GONE_AFTER = 3.3  # seconds after which nobody who leaves holds a connection without a request
-TAKEN_FOR = 1.8  # seconds after which one that leaves takes no request any more
-ENDING_TAKEN_FOR = 0.65  # and one that ends: what comes 0.7 s after SIGTERM has to be answered by SIGKILL
-FIRST_WITHIN = 0.3  # seconds that a new connection has for its first command while others are closed
+# Sizes. What a client may make us hold is bounded for each connection and for all together.
+COMMAND_BYTES_MAX = 2 * VALUE_BYTES_MAX  # of one unfinished command: a body and little else
+COMMAND_BYTES_MAX_ALL = 64 * VALUE_BYTES_MAX  # of the unfinished commands of all clients
+PIPELINE_MAX = 64  # requests in flight on one connection: no more is read from it meanwhile
+COMMANDS_PER_TURN = 64  # carried out for one client before all others have their turn
+# The accept queue. A client that finds no room there may take itself for connected and hear nothing for ever.
+LISTEN_BACKLOG = 1024
+SURPLUS_CONNECTIONS_MAX = 16  # beyond the limit that still get an answer: more are closed at once
+REQUEST_ID_BYTES_MAX = 64
+BODY_INDEX = 4  # of the body among the values of a command
+RECEIVE_BUFFER_BYTES = 256 * 1024  # what may wait in a client's socket
 CUSTOMER_BITS = 33
-WAIT_MOST = 3_600_000  # ms
-MS = 1_000
+REQUEST_TIMEOUT_MAX = 3_600_000  # milliseconds
+MS = 1_000  # microseconds
+
+# Timeouts of a connection, in seconds.
+COMMAND_TIMEOUT = 2.2  # for a first command, for the rest of one, or for more of a large body
+FIRST_COMMAND_GRACE = 0.3  # that a new connection has for its first command while idle ones are closed
+WRITE_STALL_TIMEOUT = 10.0  # that a client may leave its answers unread
+LINGER_TIMEOUT = 1.0  # in which what a client still sends is read and dropped after our end (lingering close)
+SWEEP_INTERVAL = 0.2  # between two sweeps over all connections for what is overdue
+
+# Uploads: large bodies.
+UPLOAD_MEMORY_SHARE = 1 / 5  # of the memory limit: what all that are kept may take
+UPLOAD_RATE_MIN = 16 * 1024  # bytes a second after COMMAND_TIMEOUT
+UPLOAD_ROOM_TIMEOUT = 1.6  # seconds that one waits for memory: in 3 s its client is owed an answer or an end
+UPLOAD_RESUME_TIMEOUT = 0.6  # seconds for more of one that waited: who still sends has it at hand
+
+# Draining on an operator's word, in seconds after it.
+DRAIN_NOTICE_DELAY = 0.6  # the front has seen that we leave, and sends no new connections
+DRAIN_REFUSE_DELAY = 1.8  # requests are refused from here on
+DRAIN_CLOSE_DELAY = 3.3  # connections without a request in flight are closed
+
+# Shutdown, in seconds after SIGTERM.
+SHUTDOWN_REFUSE_DELAY = 0.65  # requests are refused: what comes from 0.7 s on has to be answered by SIGKILL
+SHUTDOWN_COMMAND_TIMEOUT = 1.0  # that an unfinished command may hold up the end once nobody is accepted
 
 
 class Stage(Enum):
     """How far the end of a client's connection is."""
 
     OPEN = auto()  # commands are read
-    LAST = auto()  # no more are: once all is answered comes the end
-    SHUT = auto()  # half-closed: our end is sent, what still comes is read away until the client ends, too
+    ENDING = auto()  # no more are: once all is answered comes the end
+    HALF_CLOSED = auto()  # our end is sent; what still comes is read and dropped until the client ends, too
 
 
 class Malformed(Exception):
@@ -86,7 +92,7 @@
         if kind is None or plan is None:
             raise Malformed("unknown class or plan")
         wait, units = terms[b"d"], float(terms[b"units"])
-        if not wait.isdigit() or not 0 < int(wait) <= WAIT_MOST:
+        if not wait.isdigit() or not 0 < int(wait) <= REQUEST_TIMEOUT_MAX:
             raise Malformed("term d is out of range")
         spread, first = int(terms[b"spread"]), int(terms[b"first"])
     except KeyError as missing:
@@ -102,7 +108,7 @@
         raise Malformed("term units is out of range")
     if not 1 <= spread <= gateways or not 0 <= first < gateways:
         raise Malformed("terms spread and first are out of range")
-    if not 0 < len(number) <= ID_MOST:
+    if not 0 < len(number) <= REQUEST_ID_BYTES_MAX:
         raise Malformed("the request's id is empty or too long")
     at = (b"," + text).index(b",d=") + 2
     parts = (name, customer, number, text[:at], text[at + len(wait) :], *command[4:])
@@ -162,13 +168,13 @@
     def fail(self) -> None:
         """The rest will never come: the client must not take what there is for an answer."""
         self.source = None
-        if self.client.stage is Stage.SHUT or self.client.transport.is_closing():
+        if self.client.stage is Stage.HALF_CLOSED or self.client.transport.is_closing():
             return
         self.client.clients.driver.stats["stream_broken"] += 1
         if self.begun:
             self.client.half_close()
         else:  # nothing of it was written: those that are answered before it keep their connection
-            self.answer(FAILED)
+            self.answer(FAILED_REPLY)
 
 
 @dataclass(slots=True)
@@ -187,7 +193,7 @@
     """The memory for large bodies of all clients: who finds none is not read from until there is some."""
 
     def __init__(self, most: int) -> None:
-        self.free = max(most, LARGE_MOST)
+        self.free = max(most, LARGE_VALUE_BYTES_MAX)
         self.waiting: dict[Client, int] = {}  # in the order of their coming
 
     def take(self, client: Client, size: int) -> bool:
@@ -211,7 +217,7 @@
 
     def __init__(self, clients: Clients) -> None:
         self.clients = clients
-        self.reader = Reader(UNFINISHED_MOST, large_at=BODY_AT, large_last=True)
+        self.reader = Reader(COMMAND_BYTES_MAX, large_at=BODY_INDEX, large_last=True)
         self.upload: Upload | None = None
         self.slots: deque[Slot] = deque()
         self.unfinished = 0  # bytes since the last whole command
@@ -229,10 +235,12 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """A client has connected."""
         self.transport = transport
-        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE_MOST)
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         over = self.clients.opened(self)
         self.surplus = over > 0
-        if over > SURPLUS_MOST:  # guards the descriptors that hosts and discovery need
+        if over > SURPLUS_CONNECTIONS_MAX:  # guards the descriptors that hosts and discovery need
             transport.abort()
 
     def pause_writing(self) -> None:
@@ -252,7 +260,7 @@
 
     def _full(self) -> bool:
         no_room = self.upload is not None and not self.upload.has_room
-        return self.unread_since > 0 or len(self.slots) >= PIPELINE_MOST or no_room
+        return self.unread_since > 0 or len(self.slots) >= PIPELINE_MAX or no_room
 
     def _hold(self) -> None:
         if not self.held and self.stage is Stage.OPEN:
@@ -272,7 +280,7 @@
 
     def write(self, data: bytes) -> None:
         """Send something, where there is still a way."""
-        if self.stage is not Stage.SHUT and not self.transport.is_closing():
+        if self.stage is not Stage.HALF_CLOSED and not self.transport.is_closing():
             self.transport.write(data)
 
     def _takes_commands(self) -> bool:
@@ -299,7 +307,7 @@
             while self._takes_commands():
                 if self._full():
                     return self._hold()
-                if turn >= TURN_MOST:
+                if turn >= COMMANDS_PER_TURN:
                     self._hold()
                     self.clients.driver.loop.call_soon(self._go_on)
                     return None
@@ -311,13 +319,13 @@
                 if (command := self.reader.gets()) is False:
                     break
                 self.unfinished, whole, turn = 0, True, turn + 1
-                if self.reader.large and isinstance(command, list) and command[-1:] == [MARK]:
+                if self.reader.large and isinstance(command, list) and command[-1:] == [PLACEHOLDER]:
                     self._begin_upload(command, self.reader.large.popleft())
                 else:
                     self._command(command)
-            if self.unfinished > UNFINISHED_MOST:
+            if self.unfinished > COMMAND_BYTES_MAX:
                 raise hiredis.ProtocolError("command too long")
-            if self.unfinished and self.clients.unfinished() > UNFINISHED_ALL:
+            if self.unfinished and self.clients.unfinished() > COMMAND_BYTES_MAX_ALL:
                 raise hiredis.ProtocolError("too much is unfinished")
             if self.reader.between:
                 self.waits_since = 0.0
@@ -334,11 +342,11 @@
         """Closes a connection on which nothing proper has come for too long. What came while we stood still
         is read between two looks, so it takes two of them."""
         if self.unread_since and (unread := self.transport.get_write_buffer_size()) < self.unread:
-            self.unread, self.unread_since = unread, before + WHOLE_WITHIN  # slow, but it reads
-        if 0 < self.unread_since < before - (UNREAD_FOR - WHOLE_WITHIN):
+            self.unread, self.unread_since = unread, before + COMMAND_TIMEOUT  # slow, but it reads
+        if 0 < self.unread_since < before - (WRITE_STALL_TIMEOUT - COMMAND_TIMEOUT):
             self.clients.driver.stats["client_unread"] += 1
             self.transport.abort()  # a close would wait for the client
-        if self.stage is Stage.SHUT:
+        if self.stage is Stage.HALF_CLOSED:
             return
         if self.held and self.has_ended():
             self.clients.driver.stats["client_gone_unread"] += 1
@@ -364,7 +372,7 @@
     def _last(self, reply: bytes) -> None:
         """A last word; commands are not read any more."""
         self._release()
-        self.stage = Stage.LAST
+        self.stage = Stage.ENDING
         self._free_upload()
         self._reply(reply)
 
@@ -380,17 +388,17 @@
         """Stop sending, and read away what still comes until the client ends as well: a close over unread
         bytes would reset the connection, and take along what the client has not read yet. Whose request
         crosses our end sees that nothing of it was taken up, and asks again elsewhere."""
-        if self.stage is Stage.SHUT or self.transport.is_closing():
+        if self.stage is Stage.HALF_CLOSED or self.transport.is_closing():
             return
         self._release()
-        self.stage = Stage.SHUT
+        self.stage = Stage.HALF_CLOSED
         self.clients.shut_off(self)
         self._let_go()
         self.transport.write_eof()
         self._linger()
 
     def _linger(self) -> None:
-        self.clients.driver.loop.call_later(LINGER, self._cut)
+        self.clients.driver.loop.call_later(LINGER_TIMEOUT, self._cut)
 
     def _cut(self) -> None:
         if not self.transport.is_closing():
@@ -420,7 +428,7 @@
         """There is room for the large body now."""
         now = self.clients.driver.loop.time()
         self.upload.has_room, self.upload.began = True, now
-        self.waits_since = now - WHOLE_WITHIN + GOES_ON_WITHIN
+        self.waits_since = now - COMMAND_TIMEOUT + UPLOAD_RESUME_TIMEOUT
         self._go_on()
 
     def _uploaded(self) -> bool:
@@ -440,13 +448,13 @@
         """Whether its large body comes too slowly, or found no room for too long."""
         upload = self.upload
         if not upload.has_room:
-            return upload.began < before + WHOLE_WITHIN - ROOM_WITHIN
-        return upload.large.length - upload.large.left < RATE_LEAST * (before - upload.began)
+            return upload.began < before + COMMAND_TIMEOUT - UPLOAD_ROOM_TIMEOUT
+        return upload.large.length - upload.large.left < UPLOAD_RATE_MIN * (before - upload.began)
 
     def _command(self, command: object) -> None:
         if not isinstance(command, list) or not command or not all(isinstance(v, bytes) for v in command):
             return self._reply(b"-ERR a command is an array of bulk strings\r\n")
-        if max(map(len, command)) > VALUE_MOST:
+        if max(map(len, command)) > VALUE_BYTES_MAX:
             return self._reply(b"-ERR a value is too long\r\n")
         if command[0] in (b"CALL.GET", b"CALL.POST"):
             return self._call(command)
@@ -466,7 +474,7 @@
     def _arrived(self, terms: Terms, parts: tuple[bytes | Body, ...], room: int = 0) -> None:
         """A request has come whole; its body takes so much of the room for large ones."""
         if self.surplus and len(self.clients.open) > self.clients.most:  # guards descriptors: it has not run
-            self.stage = Stage.LAST
+            self.stage = Stage.ENDING
             self.clients.driver.stats["refused_crowded"] += 1
             return self._reply(b"-BUSY 1000\r\n", room)
         if self.clients.finishing:
@@ -526,10 +534,12 @@
 
     def close_if_idle(self) -> None:
         """Close between two requests, if it shall be closed."""
-        if self.slots or self.stage is Stage.SHUT:
+        if self.slots or self.stage is Stage.HALF_CLOSED:
             return
-        new = self.waits_since > self.clients.driver.loop.time() - FIRST_WITHIN  # its command is on its way
-        if self.stage is Stage.LAST or (self.clients.draining and not new and self._is_between()):
+        new = (
+            self.waits_since > self.clients.driver.loop.time() - FIRST_COMMAND_GRACE
+        )  # its command is on its way
+        if self.stage is Stage.ENDING or (self.clients.draining and not new and self._is_between()):
             self.half_close()
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -564,7 +574,7 @@
         self.driver, self.config, self.most = driver, config, most
         self.open: dict[Client, None] = {}  # the one whose last request is longest ago comes first
         self.shut: dict[Client, None] = {}  # half-closed, the one longest so first
-        self.room = Room(int(BODIES_PART * config.memory))
+        self.room = Room(int(UPLOAD_MEMORY_SHARE * config.memory))
         self.draining = False  # connections are closed between requests
         self.finishing = False  # and no request is taken any more
         self.leaving: list[asyncio.TimerHandle] = []  # the steps of a drain still to come
@@ -577,17 +587,19 @@
             where = {"sock": sock}
         else:  # shared: a process that hangs may still hold it
             where = {"host": self.config.listen[0], "port": self.config.listen[1], "reuse_port": True}
-        self.server = await self.driver.loop.create_server(lambda: Client(self), backlog=BACKLOG, **where)
+        self.server = await self.driver.loop.create_server(
+            lambda: Client(self), backlog=LISTEN_BACKLOG, **where
+        )
         self.driver.readiness.serving = True
         self._look()
 
     def _look(self) -> None:
         """Who connects and sends nothing, or part of a command, is owed a close: its place is wanted."""
-        before = self.driver.loop.time() - WHOLE_WITHIN
+        before = self.driver.loop.time() - COMMAND_TIMEOUT
         for client in [*self.open, *self.shut]:
             client.look(before)
             client.close_if_idle()
-        self.driver.loop.call_later(LOOK_EVERY, self._look)
+        self.driver.loop.call_later(SWEEP_INTERVAL, self._look)
 
     def leave(self) -> None:
         """Say no from now on, and once the front has seen that, close connections between requests."""
@@ -596,9 +608,9 @@
         self.driver.readiness.left = True
         later = self.driver.loop.call_later
         self.leaving = [
-            later(SEEN_WITHIN, self._close_between),
-            later(TAKEN_FOR, self._take_no_more),
-            later(GONE_AFTER, self._close_without_request),
+            later(DRAIN_NOTICE_DELAY, self._close_between),
+            later(DRAIN_REFUSE_DELAY, self._take_no_more),
+            later(DRAIN_CLOSE_DELAY, self._close_without_request),
         ]
 
     def join(self) -> str:
@@ -645,7 +657,9 @@
                 self.driver.stats["client_evicted"] += 1
                 idle.half_close()
         self.open[client] = None
-        if self.shut and len(self.open) + len(self.shut) > self.most + SURPLUS_MOST:  # guards descriptors
+        if (
+            self.shut and len(self.open) + len(self.shut) > self.most + SURPLUS_CONNECTIONS_MAX
+        ):  # guards descriptors
             next(iter(self.shut)).transport.abort()
         return len(self.open) - self.most
 
@@ -679,8 +693,8 @@
 
     async def drain(self, accept_for: float) -> None:
         """Close connections as they fall idle, go on accepting for a while, then finish what is held. Each
-        wait has an end: calls by their deadlines, commands by UNFINISHED_FOR, half-closed connections by
-        LINGER, and who reads too slowly for all that is cut off."""
+        wait has an end: requests by their deadlines, commands by SHUTDOWN_COMMAND_TIMEOUT, half-closed
+        connections by LINGER_TIMEOUT, and who reads too slowly for all that is cut off."""
         self.join()
         self.driver.readiness.ending = not self.driver.readiness.handed_on
         self._close_between()
@@ -688,11 +702,11 @@
         start = loop.time()
         await asyncio.sleep(accept_for)
         self._stop_accepting()
-        await asyncio.sleep(max(0.0, start + ENDING_TAKEN_FOR - loop.time()))
+        await asyncio.sleep(max(0.0, start + SHUTDOWN_REFUSE_DELAY - loop.time()))
         self.finishing = True
-        unfinished_until = start + accept_for + UNFINISHED_FOR
-        left = max((call.until for call in self.driver.calls.values()), default=0) - self.driver.clock()
-        ends = loop.time() + max(0.0, left / 1e6) + UNREAD_FOR
+        unfinished_until = start + accept_for + SHUTDOWN_COMMAND_TIMEOUT
+        left = max((call.deadline for call in self.driver.calls.values()), default=0) - self.driver.clock()
+        ends = loop.time() + max(0.0, left / 1e6) + WRITE_STALL_TIMEOUT
         while not self.is_over and loop.time() < ends:
             for client in list(self.open):
                 client.close_if_idle()
--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -15,27 +15,38 @@
 log = logs.get(__name__)
 
 PATH = "/registry/instances"
-WAIT = 2.0  # seconds that a call may wait for news: until then nothing tells a quiet agent from a hung one
-ANSWER_WITHIN = 1.0  # seconds beyond that: a silent agent is tried anew
-TOLD_WITHIN = 6.0  # seconds after which what discovery has to tell counts as told, whether it came or not
-# Between the beginnings of two tries, whatever becomes of the first: the second has to be answered as well.
-CALLED_WITHIN = TOLD_WITHIN - 2.0
-LIST_MOST = 4 * 1024 * 1024  # bytes of an answer: guards memory against one that never ends
-BACK_OFF, BACK_OFF_MOST = 0.05, 1.0  # seconds before connecting again, doubled with each failure
-CONNECT_WITHIN = 1.0
+RESPONSE_BYTES_MAX = 4 * 1024 * 1024  # guards memory against a response that never ends
+
+# All times in seconds.
+STALENESS_LIMIT = 6.0  # what discovery has to tell counts as told so long after, whether it came or not
+# Between the beginnings of two calls, whatever becomes of the first: the second has to be answered as well.
+CALL_INTERVAL_MAX = STALENESS_LIMIT - 2.0
+CONNECT_TIMEOUT = 1.0
+LONG_POLL_WAIT = 2.0  # that a call may wait for news: until then a hung agent looks like a quiet one
+RESPONSE_TIMEOUT = 1.0  # beyond that wait: a silent agent is called anew
+BACKOFF_MIN, BACKOFF_MAX = 0.05, 1.0  # before connecting again, doubled with each failure
+
 # Discovery may be overbooked: then calls wait in turn there, and too many of them are all in vain. A watch
 # that goes on costs it nothing, a new one a call and what changed, a whole list every line.
-PACE = 0.5  # seconds between two calls after it refused one, doubled with each more, to CALLED_WITHIN
-RELIEF = 0.7  # of the pace that is left after an answer, for the next time
-CALLS_APART = 0.15  # seconds on average between the first calls of a fleet that starts together
-
-# What an answer that makes no sense raises.
-ODD = (ValueError, KeyError, TypeError, AttributeError, ArithmeticError, RecursionError, h11.ProtocolError)
+REFUSED_INTERVAL_MIN = 0.5  # between two calls after a refused one, doubled with each more
+REFUSED_INTERVAL_DECAY = 0.7  # the part of that interval which an answer leaves for the next time
+FIRST_CALL_SPACING = 0.15  # on average between the first calls of a fleet that starts together
+
+# What a response that makes no sense raises.
+MALFORMED = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+    h11.ProtocolError,
+)
 
 
 def span_of(gateways: int, asked: bool) -> float:
     """Seconds over which a fleet spreads its first calls; asked: discovery does work for each of them."""
-    return min(CALLED_WITHIN, CALLS_APART * (gateways - 1)) if asked else 0.0
+    return min(CALL_INTERVAL_MAX, FIRST_CALL_SPACING * (gateways - 1)) if asked else 0.0
 
 
 class Exchange(asyncio.Protocol):
@@ -88,11 +99,11 @@
                     self.tells_length = bool(names & {b"content-length", b"transfer-encoding"})
                 elif isinstance(event, h11.Data):
                     self.body += event.data
-                    if len(self.body) > LIST_MOST:
+                    if len(self.body) > RESPONSE_BYTES_MAX:
                         raise ValueError("answer too long")
                 elif isinstance(event, h11.EndOfMessage):
                     self._whole()
-        except ODD as wrong:
+        except MALFORMED as wrong:
             self.watch.failed(self, wrong)
 
     def _whole(self) -> None:
@@ -133,8 +144,8 @@
         address: Address,
         zones: tuple[str, ...],
         told: Callable[[HostList], None],
-        wait: float = WAIT,
-        answer_within: float = ANSWER_WITHIN,
+        wait: float = LONG_POLL_WAIT,
+        answer_within: float = RESPONSE_TIMEOUT,
         draw: Callable[[], float] = lambda: 1.0,
         version: int | None = None,
         spread: float = 0.0,
@@ -144,7 +155,7 @@
         self.draw = draw  # from 0 to 1, so that gateways that started together don't call together
         self.version = version  # of the list that is held: what changed since is asked for; None: the whole
         self.spread = spread  # seconds that the first calls of the whole fleet take together
-        self.back_off = BACK_OFF
+        self.back_off = BACKOFF_MIN
         self.pace = 0.0  # seconds to the next call where discovery refuses one; 0: it is not overbooked
         self.due = 0.0  # by then the next try begins: what this one misses counts as told soon after
         self.exchange: Exchange | None = None
@@ -160,15 +171,15 @@
     def start(self) -> None:
         """Connect and call."""
         self.drop()
-        self.due = self.loop.time() + CALLED_WITHIN
-        self._wait(CONNECT_WITHIN, self._too_late)
+        self.due = self.loop.time() + CALL_INTERVAL_MAX
+        self._wait(CONNECT_TIMEOUT, self._too_late)
         self.exchange = Exchange(self)
 
     def move(self, address: Address) -> None:
         """Discovery is at this address from now on: whatever goes on with another one is dropped."""
         if address == self.address:
             return
-        self.address, self.version, self.back_off, self.pace = address, None, BACK_OFF, 0.0
+        self.address, self.version, self.back_off, self.pace = address, None, BACKOFF_MIN, 0.0
         self.start()
 
     def drop(self) -> None:
@@ -187,12 +198,12 @@
         """Connect anew after a short while."""
         self.drop()
         self._wait(self._in_time(max(self.back_off, self.pace)), self.start)
-        self.back_off = min(BACK_OFF_MOST, 2 * self.back_off)
+        self.back_off = min(BACKOFF_MAX, 2 * self.back_off)
 
     def _in_time(self, span: float) -> float:
         """A part of a span, drawn so that a fleet does not call in step, and cut so that the next try comes
         before what this one missed counts as told."""
-        return min(span * (1 + self.draw()) / 2, max(BACK_OFF, self.due - self.loop.time()))
+        return min(span * (1 + self.draw()) / 2, max(BACKOFF_MIN, self.due - self.loop.time()))
 
     # -- what happens ---------------------------------------------------------------------------------------
 
@@ -209,7 +220,7 @@
 
     def strained(self) -> None:
         """It refused a call, or left it without an answer: fewer calls from now on."""
-        self.pace = min(CALLED_WITHIN, max(PACE, self.spread, 2 * self.pace))
+        self.pace = min(CALL_INTERVAL_MAX, max(REFUSED_INTERVAL_MIN, self.spread, 2 * self.pace))
 
     def refused(self, again: bool) -> None:
         """It is overbooked: the same call later, on the same connection where that is kept."""
@@ -228,7 +239,7 @@
 
     def _call_again(self) -> None:
         """The next try, on the connection of the one before."""
-        self.due = self.loop.time() + CALLED_WITHIN
+        self.due = self.loop.time() + CALL_INTERVAL_MAX
         self._ask()
 
     def _ask(self) -> None:
@@ -238,7 +249,7 @@
             target = f"{PATH}?index={self.version}&wait={int(self.wait * 1000)}"
             within += self.wait
         if self.pace:  # it is overbooked: an answer may take all the time there is
-            within = max(within, self.due - BACK_OFF - self.loop.time())
+            within = max(within, self.due - BACKOFF_MIN - self.loop.time())
         self._wait(within, self._silent)
         self.exchange.call(target, ":".join(map(str, self.address)))
 
@@ -249,7 +260,10 @@
     def answered(self, listed: HostList, again: bool) -> None:
         """Call again at once where the connection is kept, so that the watch stands, then pass on what was
         told. A version that went back is of another list than ours."""
-        self.back_off, self.pace = BACK_OFF, self.pace * RELIEF if self.pace > PACE else 0.0
+        self.back_off, self.pace = (
+            BACKOFF_MIN,
+            self.pace * REFUSED_INTERVAL_DECAY if self.pace > REFUSED_INTERVAL_MIN else 0.0,
+        )
         back = not listed.whole and self.version is not None and listed.version < self.version
         self.version = None if back else listed.version
         if again:
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -24,11 +24,9 @@
 
 MS = 1_000  # microseconds
 # The client's clock started when it sent: so much before its time is up the last answer must be on its way.
-ON_THE_WAY = 10 * MS
-FAILED = b"-ERR failed\r\n"
-GONE_FOR = (
-    300 * MS
-)  # after a client has gone its request may be sent on for so long: it may not be seen at once
+REPLY_MARGIN = 10 * MS
+FAILED_REPLY = b"-ERR failed\r\n"
+CLIENT_GONE_TOLERANCE = 300 * MS  # so long a request may be sent on after its client has gone, unseen
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,11 +85,11 @@
     event: api.RequestArrived
     # Command, customer, id, terms before and after the value of ``d``, perhaps body.
     parts: tuple[bytes | Body, ...]
-    until: int  # clock time by which it must be answered
+    deadline: int  # clock time by which it must be answered
     answer: Callable[[bytes], None]
     sink: Sink | None = None  # takes a large answer, and knows whether the client is there; None: a relay's
     attempts: list[Attempt] = field(default_factory=list)
-    guard: asyncio.TimerHandle | None = None
+    deadline_timer: asyncio.TimerHandle | None = None
     finished: bool = False
     elsewhere: bool = False  # the process that took over decides on it
 
@@ -199,7 +197,7 @@
         """A client's request, its last byte just read; the client's own ids stay outside the module."""
         self.last_number += 1
         self.stats["requests"] += 1
-        left = max(MS, terms.wait - ON_THE_WAY)
+        left = max(MS, terms.wait - REPLY_MARGIN)
         event = api.RequestArrived(
             self.last_number,
             terms.customer,
@@ -213,7 +211,7 @@
         )
         call = Call(event, parts, self.clock() + left, answer, sink)
         self.calls[self.last_number] = call
-        call.guard = self._at(call.until, self._time_up, call)
+        call.deadline_timer = self._at(call.deadline, self._time_up, call)
         if self.heir:
             self._pass_on(call)
         else:
@@ -228,7 +226,7 @@
             first = next((attempt for attempt in call.attempts if attempt.whole), None)
             if first is None:
                 self.stats["client_gone_waiting"] += 1
-            elif first.sent > self.clock() - int(unseen * 1e6) + GONE_FOR:
+            elif first.sent > self.clock() - int(unseen * 1e6) + CLIENT_GONE_TOLERANCE:
                 self.stats["client_gone_sent_late"] += 1
             self._observe(call, "client_gone")
             self._close(call)
@@ -347,7 +345,7 @@
             number = event.token - 1 if isinstance(event, api.TimerFired) else getattr(event, "request", 0)
             call = self.calls.get(number)
             if call is not None and not call.finished:
-                self._finish(call, FAILED)
+                self._finish(call, FAILED_REPLY)
                 self.pending.append(api.ClientGone(number))
             # Guards the gossip's own timer, which it sets anew before all else.
             actions = [action for action in self.gateway.actions if isinstance(action, api.SetTimer)]
@@ -408,12 +406,12 @@
         if call is None:
             return
         now = self.clock()
-        give_up_at = min(action.give_up_at or call.until, call.until)
+        give_up_at = min(action.give_up_at or call.deadline, call.deadline)
         attempt = Attempt(call, len(call.attempts), action.server, now, give_up_at, action.send_by)
         call.attempts.append(attempt)
         if action.send_by:
             self._at(action.send_by, self._withdraw, attempt)
-        if give_up_at < call.until:  # else the call's own timer ends it: one less for every attempt
+        if give_up_at < call.deadline:  # else the call's own timer ends it: one less for every attempt
             attempt.timer = self._at(give_up_at, self._timed_out, attempt)
         if self.heir:
             self.heir.told(api.AttemptElsewhere(call.event, attempt.number, attempt.server, now))
@@ -440,7 +438,7 @@
         if call := self.calls.get(action.request):
             self.stats["failed"] += 1
             self._observe(call, "failed")
-            self._finish(call, FAILED)
+            self._finish(call, FAILED_REPLY)
 
     def _set_timer(self, action: api.SetTimer) -> None:
         self._after(action.span, self.feed, api.TimerFired(action.token))
@@ -474,13 +472,13 @@
 
     def _observe(self, call: Call, outcome: str, server: api.Server = b"") -> None:
         if self.observer:
-            took = self.clock() - call.until + call.event.time_left
+            took = self.clock() - call.deadline + call.event.time_left
             self.observer.answered(call.event.kind, outcome, server, took)
 
     def _close(self, call: Call) -> None:
         call.finished = True
         if all(attempt.ended for attempt in call.attempts):
-            call.guard.cancel()
+            call.deadline_timer.cancel()
             self.calls.pop(call.event.request, None)
         else:  # a Cancel of what is still out may follow: kept for the length of one turn of the loop
             self.loop.call_soon(self.calls.pop, call.event.request, None)
@@ -505,7 +503,7 @@
         if not call.finished:
             log.warning("request_unanswered", request=call.parts[2], customer=f"{call.event.customer:016x}")
             self._observe(call, "failed")
-            self._finish(call, FAILED)
+            self._finish(call, FAILED_REPLY)
             if not call.elsewhere:
                 self.feed(api.ClientGone(call.event.request))
 
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -18,16 +18,16 @@
 
 from .config import Address, HostList
 from .driver import Attempt, Driver, Sink
-from .resp import CRLF, VALUE_MOST, Large, Reader
+from .resp import CRLF, VALUE_BYTES_MAX, Large, Reader
 
-ANSWER_MOST = 2 * VALUE_MOST  # bytes of a whole answer but for a large value: figures and a report
-PIECE_MOST = 256 * 1024  # bytes that wait in a socket: bounds a piece, where the client is slow
-SILENT_FOR = 10.0  # seconds that a host may leave a large answer without a byte
-IDLE_PART = 0.6  # of the hosts' idle limit: ours are closed clearly earlier, so none meets a closing one
-SWEEPS = 10  # looks at idle connections in that time
+REPLY_BYTES_MAX = 2 * VALUE_BYTES_MAX  # bytes of a whole answer but for a large value: figures and a report
+RECEIVE_BUFFER_BYTES = 256 * 1024  # bytes that wait in a socket: bounds a piece, where the client is slow
+STREAM_IDLE_TIMEOUT = 10.0  # seconds that a host may leave a large answer without a byte
+IDLE_TIMEOUT_SHARE = 0.6  # of the hosts' idle timeout: ours is clearly shorter, so none meets a closing one
+SWEEPS_PER_IDLE_TIMEOUT = 10  # looks at idle connections in that time
 # Seconds that a connection rests after an answer: a second one may come some milliseconds late, and would be
 # taken for the answer to another request.
-REST = 0.03
+CONNECTION_COOLDOWN = 0.03
 MS = 1_000
 
 
@@ -70,7 +70,7 @@
     def __init__(self, pool: Pool) -> None:
         self.pool, self.stage = pool, Stage.OPENING
         self.transport: asyncio.Transport | None = None
-        self.reader = Reader(VALUE_MOST, large_at=0)
+        self.reader = Reader(VALUE_BYTES_MAX, large_at=0)
         self.attempt: Attempt | None = None
         self.large: Large | None = None  # the value of this answer, where it is a large one
         self.sink: Sink | None = None  # where its pieces go
@@ -98,7 +98,9 @@
             return
         self.timer.cancel()
         transport.set_write_buffer_limits(high=0)
-        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE_MOST)
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         self.pool.up(self)
 
     def is_clean(self) -> bool:
@@ -145,7 +147,7 @@
             passing = self.reader.passing is not None and self.reader.passing is self.large
             reply = False if passing else self.reply
             odd = reply is not False and (self.reader.has_data() or not self.reader.between)
-            if reply is False and not passing and (self.reader.large or self.received > ANSWER_MOST):
+            if reply is False and not passing and (self.reader.large or self.received > REPLY_BYTES_MAX):
                 raise hiredis.ProtocolError("answer too long, or a second large value")
         except hiredis.ProtocolError:
             reply, odd = None, True
@@ -253,11 +255,11 @@
         attempt.link = self
         Connection(self)
         if self.idle:  # one that rests may be sooner
-            self.hosts.loop.call_later(REST, self._serve)
+            self.hosts.loop.call_later(CONNECTION_COOLDOWN, self._serve)
 
     def _rested(self) -> Connection | None:
         """The connection used last of those that have rested."""
-        before = self.hosts.loop.time() - REST
+        before = self.hosts.loop.time() - CONNECTION_COOLDOWN
         for connection in self.idle[::-1]:
             if connection.idle_since > before:
                 continue
@@ -291,7 +293,7 @@
         if self.retired:
             connection.close()
         elif self.waiting:
-            self.hosts.loop.call_later(REST, self._serve)
+            self.hosts.loop.call_later(CONNECTION_COOLDOWN, self._serve)
 
     def _serve(self) -> None:
         """Attempts that still wait take connections that have rested."""
@@ -341,7 +343,7 @@
     ) -> None:
         self.driver, self.loop, self.report_names = driver, driver.loop, report_names
         self.most, self.connect_timeout = sockets, connect_timeout
-        self.keep_idle = IDLE_PART * idle_close
+        self.keep_idle = IDLE_TIMEOUT_SHARE * idle_close
         self.sockets = 0  # open or opening
         self.pools: dict[api.Server, Pool] = {}
         self.streams: dict[Connection, None] = {}  # those with a large answer on them
@@ -434,11 +436,11 @@
         """Guards against a request meeting a connection that its host is closing as idle."""
         for pool in self.pools.values():
             pool.close_idle(self.loop.time() - self.keep_idle)
-        self.loop.call_later(self.keep_idle / SWEEPS, self._sweep)
+        self.loop.call_later(self.keep_idle / SWEEPS_PER_IDLE_TIMEOUT, self._sweep)
 
     def _look(self) -> None:
         """Guards against a host that stops within a large answer: no deadline runs any more."""
-        before = self.loop.time() - SILENT_FOR
+        before = self.loop.time() - STREAM_IDLE_TIMEOUT
         for connection in [c for c in self.streams if not c.paused and c.heard < before]:
             connection.close()
-        self.loop.call_later(SILENT_FOR / SWEEPS, self._look)
+        self.loop.call_later(STREAM_IDLE_TIMEOUT / SWEEPS_PER_IDLE_TIMEOUT, self._look)
--- a/saffrongw/process.py
+++ b/saffrongw/process.py
@@ -28,15 +28,15 @@
     from .members import Members
     from .metrics import Metrics
 
-ACCEPT_FOR = 0.5  # seconds after SIGTERM in which new connections are still served
-SPARE = 48  # descriptors for all but clients and hosts: the loop, the watch, peers, logs, operators
-OVERLAP = 24  # more of them while the process before this one finishes: both share the limit
-CLIENT_PART = 1 / 3  # of all descriptors: clients may hold no more
+SHUTDOWN_ACCEPT_TIME = 0.5  # seconds after SIGTERM in which new connections are still served
+RESERVED_DESCRIPTORS = 48  # for all but clients and hosts: the loop, the watch, peers, logs, operators
+UPGRADE_DESCRIPTORS = 24  # more of them while the process before this one finishes: both share the limit
+CLIENT_DESCRIPTOR_SHARE = 1 / 3  # of all descriptors: clients may hold no more
 
 # What an unusable configuration raises, wherever it comes from.
 UNUSABLE = (OSError, KeyError, ValueError, TypeError, AttributeError, WireError)
-AT_START = ("seed", "known")  # told anew with each start: another value is no change
-AT_ONCE = ("discovery", "log_form", "log_level")  # what SIGHUP puts in force; all else waits for a start
+SET_AT_START = ("seed", "known")  # told anew with each start: another value is no change
+RELOADABLE = ("discovery", "log_form", "log_level")  # what SIGHUP puts in force; all else waits for a start
 log = logs.get(__name__)
 
 
@@ -47,7 +47,7 @@
         fields = [field.name for field in dataclasses.fields(a)]
         return [name for name in fields if getattr(a, name) != getattr(b, name)]
 
-    names = [name for name in differ(old, new) if name not in (*AT_START, "settings")]
+    names = [name for name in differ(old, new) if name not in (*SET_AT_START, "settings")]
     return names + [f"settings.{name}" for name in differ(old.settings, new.settings)]
 
 
@@ -60,8 +60,8 @@
         self.loop = asyncio.get_running_loop()
         self.stop = asyncio.Event()
         self.told = asyncio.Event()  # discovery has told something
-        self.client_sockets = int(CLIENT_PART * config.sockets)
-        self.host_sockets = max(1, config.sockets - SPARE - self.client_sockets)
+        self.client_sockets = int(CLIENT_DESCRIPTOR_SHARE * config.sockets)
+        self.host_sockets = max(1, config.sockets - RESERVED_DESCRIPTORS - self.client_sockets)
         self.driver = Driver(config.settings, config.seed, self.loop)
         self.driver.hosts = Hosts(
             self.driver,
@@ -95,7 +95,7 @@
                 task.cancel()
         if self.members:
             self.members.leave()
-        await self.clients.drain(ACCEPT_FOR)
+        await self.clients.drain(SHUTDOWN_ACCEPT_TIME)
         if self.metrics:
             await self.metrics.end()
 
@@ -174,7 +174,7 @@
     def _share(self, elder: upgrade.Elder, its_clients: int, its_hosts: int) -> None:
         """The process before this one still holds so many descriptors of the limit of both."""
         self.clients.most = max(1, self.client_sockets - its_clients)
-        both = OVERLAP if elder.channel else 0
+        both = UPGRADE_DESCRIPTORS if elder.channel else 0
         self.driver.hosts.most = max(1, self.host_sockets - its_hosts - both)
 
     def reload(self) -> None:
@@ -185,11 +185,11 @@
             log.error("config_unusable", error=wrong, advice="the one before it holds")
             return
         changed = changes(self.config, config)
-        at_once = [name for name in changed if name in AT_ONCE]
+        at_once = [name for name in changed if name in RELOADABLE]
         held = {name: getattr(config, name) for name in at_once}
         # What waits for a start is compared with what is in force, so that each SIGHUP tells all of it.
         self.config = dataclasses.replace(self.config, **held)
-        later = [name for name in changed if name not in AT_ONCE]
+        later = [name for name in changed if name not in RELOADABLE]
         log.info("config_read", in_force=at_once, needs_restart=later)  # in the form and level before
         if "log_form" in at_once or "log_level" in at_once:
             logs.start(self.config.log_form, self.config.log_level)
--- a/saffrongw/resp.py
+++ b/saffrongw/resp.py
@@ -7,12 +7,12 @@
 
 import hiredis
 
-VALUE_MOST = 64 * 1024  # bytes in one value that the parser holds
-LARGE_MOST = 4 * 1024 * 1024  # bytes in one value
-ARRAY_MOST = 1024  # values in one array
-LINE_MOST = 1024  # bytes of a line: a type, and a number or a short text
+VALUE_BYTES_MAX = 64 * 1024  # bytes in one value that the parser holds
+LARGE_VALUE_BYTES_MAX = 4 * 1024 * 1024  # bytes in one value
+ARRAY_LENGTH_MAX = 1024  # values in one array
+LINE_BYTES_MAX = 1024  # bytes of a line: a type, and a number or a short text
 CRLF = b"\r\n"
-MARK = os.urandom(16)  # stands for a large value in what the parser gives: nobody else can send it
+PLACEHOLDER = os.urandom(16)  # stands for a large value in what the parser gives: nobody else can send it
 
 
 class Large:
@@ -80,7 +80,9 @@
                 break
             if begun or self.passing:  # else it goes with what stands round it
                 super().feed(data[fed:at])
-                super().feed(b"$%d\r\n%b\r\n" % (len(MARK), MARK) if self.passing else self.line)
+                super().feed(
+                    b"$%d\r\n%b\r\n" % (len(PLACEHOLDER), PLACEHOLDER) if self.passing else self.line
+                )
                 fed = end
             self.line, at = b"", end
         super().feed(data[fed:at])
@@ -110,7 +112,7 @@
             self.passing = None
 
     def _too_long(self, line: bytes) -> str:
-        return "line too long" if len(line) > LINE_MOST else ""
+        return "line too long" if len(line) > LINE_BYTES_MAX else ""
 
     def _check(self, line: bytes) -> str:
         kind, number = line[:1], line[1 : -len(CRLF)]
@@ -122,12 +124,18 @@
             if not number.isdigit() and number != b"-1":
                 return "malformed length"
             may_be_large = self.place == self.large_at >= 0 and not (self.large_last and self.owed)
-            most = ARRAY_MOST if kind == b"*" else LARGE_MOST if may_be_large else self.text_most
+            most = (
+                ARRAY_LENGTH_MAX
+                if kind == b"*"
+                else LARGE_VALUE_BYTES_MAX
+                if may_be_large
+                else self.text_most
+            )
             if len(number) > len(str(most)) or int(number) > most:
                 return "array or value too long"
             if kind == b"$" and number != b"-1":
                 self.skip = int(number) + len(CRLF)
-                if may_be_large and int(number) > VALUE_MOST:
+                if may_be_large and int(number) > VALUE_BYTES_MAX:
                     self.passing = Large(int(number))
                     self.large.append(self.passing)
             elif number != b"-1":
--- a/saffrongw/upgrade.py
+++ b/saffrongw/upgrade.py
@@ -25,7 +25,7 @@
 
 from .clients import Clients
 from .config import Address, Config, HostEntry, HostList
-from .driver import FAILED, ON_THE_WAY, Call, Driver, Terms
+from .driver import FAILED_REPLY, REPLY_MARGIN, Call, Driver, Terms
 from .peers import Peers
 
 log = logs.get(__name__)
@@ -230,7 +230,7 @@
         except BROKEN:
             self.is_alone = True
             for call in list(self.driver.calls.values()):
-                self.driver.answered_elsewhere(call.event.request, FAILED)
+                self.driver.answered_elsewhere(call.event.request, FAILED_REPLY)
 
     async def _say(self, number: int, line: str) -> None:
         self.channel.send(said=number, text=await self.carry_out(line.encode("latin-1")))
@@ -240,7 +240,7 @@
         if self.is_alone:  # nobody does any more, and nothing of it was sent
             self.driver.answered_elsewhere(call.event.request, b"-BUSY\r\n")
             return
-        event, left = call.event, call.until - self.driver.clock()
+        event, left = call.event, call.deadline - self.driver.clock()
         terms = [event.customer, event.kind, event.plan, left, event.units, event.set_size, event.set_first]
         parts = [part.decode("latin-1") for part in call.parts]
         self.channel.send(arrived=event.request, terms=[*terms, event.is_repeat], parts=parts)
@@ -403,7 +403,7 @@
         match message:
             case {"arrived": int(number), "terms": terms, "parts": parts}:
                 customer, kind, plan, left, units, spread, first, is_repeat = terms
-                wait = int(left) + ON_THE_WAY
+                wait = int(left) + REPLY_MARGIN
                 of = Terms(customer, kind, plan, wait, units, spread, first, is_repeat)
                 whole = tuple(part.encode("latin-1") for part in parts)
                 call = self.driver.arrived(of, whole, lambda reply: self._answer(number, reply))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -366,7 +366,7 @@
 
 PATIENT = """
 from saffrongw import __main__, clients
-clients.WHOLE_WITHIN = 60.0
+clients.COMMAND_TIMEOUT = 60.0
 raise SystemExit(__main__.main())
 """
 
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -19,8 +19,8 @@
 
 from orchidlane import interface as api
 from saffrongw import clients as clients_module
-from saffrongw.clients import SURPLUS_MOST, TURN_MOST, WHOLE_WITHIN, Client, Stage
-from saffrongw.hosts import REST
+from saffrongw.clients import COMMAND_TIMEOUT, COMMANDS_PER_TURN, SURPLUS_CONNECTIONS_MAX, Client, Stage
+from saffrongw.hosts import CONNECTION_COOLDOWN
 
 PING = hiredis.pack_command((b"PING",))
 TERMS = b"c=%b,t=team,d=%d,units=1,spread=2,first=0"
@@ -80,7 +80,7 @@
     half_close = client.half_close
 
     def end() -> None:
-        if client.stage is not Stage.SHUT:
+        if client.stage is not Stage.HALF_CLOSED:
             plain.send(data)
             if data:
                 arrived(fileno(client))
@@ -102,7 +102,7 @@
 
 
 async def by_overdue(rig: Rig, plain: Plain, client: Client) -> bytes:
-    client.waits_since = rig.loop.time() - WHOLE_WITHIN - 1
+    client.waits_since = rig.loop.time() - COMMAND_TIMEOUT - 1
     return b""
 
 
@@ -146,7 +146,7 @@
     crossed(client, plain, CROSSING[crossing])
     last = await end(rig, plain, client)
     assert await plain.rest() == last
-    assert client.stage is Stage.SHUT and client in rig.clients.shut and client not in rig.clients.open
+    assert client.stage is Stage.HALF_CLOSED and client in rig.clients.shut and client not in rig.clients.open
     for _ in range(3):  # whoever goes on is not reset either, while we linger
         with contextlib.suppress(BlockingIOError):
             plain.sock.send(request(8, b"bill"))
@@ -172,14 +172,14 @@
 
 @asyncio_test
 async def test_a_half_closed_connection_is_cut_in_the_end_and_those_are_bounded(monkeypatch):
-    monkeypatch.setattr(clients_module, "LINGER", 0.3)
+    monkeypatch.setattr(clients_module, "LINGER_TIMEOUT", 0.3)
     rig = Rig(await FakeHost("a").listen())
     held = [await connected(rig) for _ in range(4)]
     rig.clients.most = 4
-    for _ in range(3 * SURPLUS_MOST):
+    for _ in range(3 * SURPLUS_CONNECTIONS_MAX):
         held.append(await connected(rig))
-        assert len(rig.clients.open) + len(rig.clients.shut) <= rig.clients.most + SURPLUS_MOST + 1
-    assert rig.driver.stats["client_evicted"] == 3 * SURPLUS_MOST
+        assert len(rig.clients.open) + len(rig.clients.shut) <= rig.clients.most + SURPLUS_CONNECTIONS_MAX + 1
+    assert rig.driver.stats["client_evicted"] == 3 * SURPLUS_CONNECTIONS_MAX
     await until(lambda: not rig.clients.shut)
     assert len(rig.clients.open) == 4
 
@@ -204,8 +204,8 @@
 @asyncio_test
 async def test_a_drain_waits_for_what_a_transport_has_still_to_send(monkeypatch):
     """The process ended once the last answer was handed to the loop, which held most of it."""
-    monkeypatch.setattr(clients_module, "ENDING_TAKEN_FOR", 0.0)
-    monkeypatch.setattr(clients_module, "UNFINISHED_FOR", 0.0)
+    monkeypatch.setattr(clients_module, "SHUTDOWN_REFUSE_DELAY", 0.0)
+    monkeypatch.setattr(clients_module, "SHUTDOWN_COMMAND_TIMEOUT", 0.0)
     host = await FakeHost("a").listen()
     host.script = lambda command: answer(b"v" * 60_000)
     rig = Rig(host)
@@ -216,7 +216,7 @@
     plain.send(b"".join(request(number) for number in range(count)))
     await until(lambda: len(host.commands) == count and not rig.driver.calls)
     drain = asyncio.create_task(rig.clients.drain(0.0))
-    await until(lambda: client.stage is Stage.SHUT)
+    await until(lambda: client.stage is Stage.HALF_CLOSED)
     assert client.transport.get_write_buffer_size() and not drain.done()
     assert await plain.rest() == (b"$60000\r\n" + b"v" * 60_000 + b"\r\n") * count
     plain.sock.close()
@@ -227,7 +227,7 @@
 @asyncio_test
 async def test_a_drain_ends_however_long_clients_go_on_sending(monkeypatch):
     """A connection that always had a request open was never closed: it was served up to SIGKILL."""
-    monkeypatch.setattr(clients_module, "ENDING_TAKEN_FOR", 0.2)
+    monkeypatch.setattr(clients_module, "SHUTDOWN_REFUSE_DELAY", 0.2)
     host = await FakeHost("a").listen()
     out = []
     host.script = lambda command: out.append(host.sender)
@@ -254,8 +254,8 @@
 
 @asyncio_test
 async def test_a_drain_ends_though_a_client_reads_ever_so_slowly(monkeypatch):
-    monkeypatch.setattr(clients_module, "ENDING_TAKEN_FOR", 0.0)
-    monkeypatch.setattr(clients_module, "UNREAD_FOR", 0.5)
+    monkeypatch.setattr(clients_module, "SHUTDOWN_REFUSE_DELAY", 0.0)
+    monkeypatch.setattr(clients_module, "WRITE_STALL_TIMEOUT", 0.5)
     host = await FakeHost("a").listen()
     host.script = lambda command: answer(b"v" * 60_000)
     rig = Rig(host)
@@ -291,7 +291,7 @@
     plain.send(request(0))
     await plain.read(8)
     (idle,) = rig.hosts.pools[b"a"].idle
-    await until(lambda: rig.loop.time() - idle.idle_since > 2 * REST)
+    await until(lambda: rig.loop.time() - idle.idle_since > 2 * CONNECTION_COOLDOWN)
     gate = Gate(rig, host.port)
     host.script = lambda command: answer(b"v" * 4_000_000) if command[2] == b"id0" else answer(b"ok")
     plain.send(request(0) + request(1, b"bill"))
@@ -343,7 +343,7 @@
 @asyncio_test
 async def test_nothing_is_sent_for_a_client_that_has_gone(wait, leave, may_cancel, monkeypatch):
     """Wherever its request waits: who was not read from was not seen to go."""
-    monkeypatch.setattr(clients_module, "PIPELINE_MOST", 16)
+    monkeypatch.setattr(clients_module, "PIPELINE_MAX", 16)
     host = await FakeHost("a").listen()
     permissions = SITE["permissions"] | {"cancel": may_cancel, "connectTimeout": 5_000_000}
     rig = Rig(host, permissions=permissions, sockets=256)
@@ -368,7 +368,7 @@
 async def decided(rig: Rig, plain: Plain) -> Callable[[], None]:
     """A request that waits for a host is sent to one, on a connection that is there."""
     (idle,) = rig.hosts.pools[b"a"].idle
-    await until(lambda: rig.loop.time() - idle.idle_since > 2 * REST)
+    await until(lambda: rig.loop.time() - idle.idle_since > 2 * CONNECTION_COOLDOWN)
     rig.told(rig.line | {"health": "DRAINING"})
     plain.send(request(1, b"bill"))
     await until(lambda: rig.driver.calls)
@@ -387,7 +387,7 @@
     Gate(rig, pool.address[1])
     plain.send(request(1, b"bill"))
     await until(lambda: pool.waiting)
-    pool.idle[0].idle_since -= REST
+    pool.idle[0].idle_since -= CONNECTION_COOLDOWN
     return pool._serve
 
 
@@ -417,7 +417,7 @@
     assert [known.out for known in gateway.hosts.values()] == [0]
 
 
-@pytest.mark.parametrize("pings", [TURN_MOST, 2 * TURN_MOST])
+@pytest.mark.parametrize("pings", [COMMANDS_PER_TURN, 2 * COMMANDS_PER_TURN])
 @pytest.mark.parametrize("leave", [socket.socket.close, reset])
 @asyncio_test
 async def test_what_a_client_sent_in_one_piece_before_it_left_is_not_carried_out_after(leave, pings):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -11,7 +11,7 @@
 
 from saffrongw import clients as clients_module
 from saffrongw import listening
-from saffrongw.clients import SEEN_WITHIN, TAKEN_FOR
+from saffrongw.clients import DRAIN_NOTICE_DELAY, DRAIN_REFUSE_DELAY
 from saffrongw.control import CALLERS_MOST, LINE_MOST, Control
 
 
@@ -163,7 +163,7 @@
         if not asking.closed:
             asking.ask(b"PING")  # who only asks is told to go as well
         await asyncio.sleep(0.05)
-    assert SEEN_WITHIN <= rig.loop.time() - began < 3
+    assert DRAIN_NOTICE_DELAY <= rig.loop.time() - began < 3
     assert not busy.closed
     host.connections[0].transport.write(b"*1\r\n$4\r\nlast\r\n")
     for connection in host.connections[1:]:
@@ -176,7 +176,7 @@
     assert await back.replied() == [b"PONG"]
     back.call()
     assert (await back.replied(2))[1] == b"ok"
-    await asyncio.sleep(TAKEN_FOR + 0.3)
+    await asyncio.sleep(DRAIN_REFUSE_DELAY + 0.3)
     assert not back.closed
 
 
@@ -187,7 +187,7 @@
     caller = await rig.caller()
     await call(control, b"LEAVE")
     await call(control, b"JOIN")
-    await asyncio.sleep(SEEN_WITHIN + 0.3)
+    await asyncio.sleep(DRAIN_NOTICE_DELAY + 0.3)
     caller.call()
     assert await caller.replied() == [b"ok"]
     assert not caller.closed
@@ -195,14 +195,14 @@
 
 @asyncio_test
 async def test_who_is_late_with_a_request_during_a_drain_does_not_keep_the_connection(monkeypatch):
-    monkeypatch.setattr(clients_module, "TAKEN_FOR", SEEN_WITHIN + 0.1)
+    monkeypatch.setattr(clients_module, "DRAIN_REFUSE_DELAY", DRAIN_NOTICE_DELAY + 0.1)
     host = await FakeHost("a").listen()
     rig = Rig(host)
     control = await controlled(rig)
     caller = await rig.caller()
     caller.transport.write(b"*4\r\n$8\r\nCALL.GET\r\n$16\r\n0000000000000007\r\n$2\r\nid\r\n")
     await call(control, b"LEAVE")
-    await asyncio.sleep(SEEN_WITHIN + 0.3)
+    await asyncio.sleep(DRAIN_NOTICE_DELAY + 0.3)
     assert not caller.closed
     terms = b"c=read,t=team,d=2000,units=1,spread=2,first=0"
     caller.transport.write(b"$%d\r\n%b\r\n" % (len(terms), terms))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -16,12 +16,12 @@
 from orchidlane import interface as api
 from saffrongw import hosts as hosts_module
 from saffrongw.clients import (
-    LOOK_EVERY,
-    PIPELINE_MOST,
-    SURPLUS_MOST,
-    UNFINISHED_ALL,
-    UNREAD_FOR,
-    WHOLE_WITHIN,
+    COMMAND_BYTES_MAX_ALL,
+    COMMAND_TIMEOUT,
+    PIPELINE_MAX,
+    SURPLUS_CONNECTIONS_MAX,
+    SWEEP_INTERVAL,
+    WRITE_STALL_TIMEOUT,
     Stage,
 )
 
@@ -63,7 +63,7 @@
 
 @asyncio_test
 async def test_attempts_do_not_share_a_connection_and_idle_ones_are_used_again(monkeypatch):
-    monkeypatch.setattr(hosts_module, "REST", 0.0)  # what rests is not used again yet
+    monkeypatch.setattr(hosts_module, "CONNECTION_COOLDOWN", 0.0)  # what rests is not used again yet
     host = await FakeHost("a").listen()
     rig = Rig(host)
     caller = await rig.caller()
@@ -429,7 +429,7 @@
     assert rig.loop.time() - begun < 3.0 + 3.0  # the three seconds owed, and as much for a busy machine
     assert silent.replies == []
     assert error(partial.replies[1]) == error(dripping.replies[0])
-    await asyncio.sleep(3 * LOOK_EVERY)
+    await asyncio.sleep(3 * SWEEP_INTERVAL)
     assert not idle.closed and not waiting.closed
 
 
@@ -438,11 +438,11 @@
     rig = Rig(await FakeHost("a").listen())
     caller = await rig.caller()
     (client,) = rig.clients.open
-    client.waits_since -= 10 * WHOLE_WITHIN
+    client.waits_since -= 10 * COMMAND_TIMEOUT
     caller.ask(b"PING")
-    client.look(rig.loop.time() - WHOLE_WITHIN)
+    client.look(rig.loop.time() - COMMAND_TIMEOUT)
     assert await caller.replied() == [b"PONG"]
-    client.look(rig.loop.time() - WHOLE_WITHIN)
+    client.look(rig.loop.time() - COMMAND_TIMEOUT)
     assert client.stage is Stage.OPEN
 
 
@@ -458,12 +458,12 @@
     await until(lambda: host.commands)
     rig.clients._look = lambda: None  # none is closed for its silence
     more = []
-    for number in range(SURPLUS_MOST + 5):
+    for number in range(SURPLUS_CONNECTIONS_MAX + 5):
         more.append(await rig.caller())
         more[-1].transport.write(b"*1\r\n")
         await until(lambda number=number: more[-1].closed or rig.clients.unfinished() == 4 * (number + 1))
-    assert [caller.closed for caller in more] == [False] * SURPLUS_MOST + [True] * 5
-    assert len(rig.clients.open) == 1 + SURPLUS_MOST
+    assert [caller.closed for caller in more] == [False] * SURPLUS_CONNECTIONS_MAX + [True] * 5
+    assert len(rig.clients.open) == 1 + SURPLUS_CONNECTIONS_MAX
     assert not holder.closed
 
 
@@ -481,7 +481,7 @@
     (client,) = rig.clients.open
     for _ in range(20):
         await asyncio.sleep(0.01)
-        assert len(client.slots) <= PIPELINE_MOST
+        assert len(client.slots) <= PIPELINE_MAX
     host.connections[0].transport.write(b"*1\r\n$2\r\nok\r\n")
     replies = await caller.replied(pings + 1)
     assert replies == [b"ok"] + [b"PONG"] * pings
@@ -497,7 +497,7 @@
     while not client.unread_since:
         caller.transport.write(hiredis.pack_command((b"PING",)) * 20_000)
         await asyncio.sleep(0)
-    client.unread_since -= UNREAD_FOR
+    client.unread_since -= WRITE_STALL_TIMEOUT
     await until(lambda: not rig.clients.open)
 
 
@@ -508,8 +508,8 @@
     callers = [await rig.caller() for _ in range(80)]
     for caller in callers:
         caller.transport.write(b"*5\r\n$65536\r\n" + b"x" * 60_000)
-    await until(lambda: sum(caller.closed for caller in callers) >= 80 - UNFINISHED_ALL // 60_000)
-    assert rig.clients.unfinished() <= UNFINISHED_ALL
+    await until(lambda: sum(caller.closed for caller in callers) >= 80 - COMMAND_BYTES_MAX_ALL // 60_000)
+    assert rig.clients.unfinished() <= COMMAND_BYTES_MAX_ALL
     assert not all(caller.closed for caller in callers)
 
 
--- a/tests/test_host_links.py
+++ b/tests/test_host_links.py
@@ -17,7 +17,7 @@
 from test_gateway import error
 
 from orchidlane import interface as api
-from saffrongw.hosts import REST, Stage
+from saffrongw.hosts import CONNECTION_COOLDOWN, Stage
 
 ANSWER = b"*1\r\n$5\r\nfresh\r\n"
 STALE = b"*1\r\n$5\r\nstale\r\n"
@@ -84,7 +84,7 @@
     await rig.loop.sock_sendall(first, ANSWER)
     assert await caller.replied() == [b"fresh"]
     (connection,) = rig.hosts.pools[b"a"].idle
-    await until(lambda: rig.loop.time() - connection.idle_since > 2 * REST)
+    await until(lambda: rig.loop.time() - connection.idle_since > 2 * CONNECTION_COOLDOWN)
     client = next(iter(rig.clients.open))
     caller.call(kind, number=b"two")  # goes to the kernel at once
     arrived(client.transport.get_extra_info("socket").fileno())
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -13,7 +13,7 @@
 
 from saffrongw import clients as clients_module
 from saffrongw import hosts as hosts_module
-from saffrongw.resp import LARGE_MOST, MARK, VALUE_MOST, Reader
+from saffrongw.resp import LARGE_VALUE_BYTES_MAX, PLACEHOLDER, VALUE_BYTES_MAX, Reader
 
 BIG = random.Random(5).randbytes(1_500_000)
 TERMS = b"c=put,t=team,d=9000,units=1,spread=2,first=0,k=key7"
@@ -30,9 +30,9 @@
 @pytest.mark.parametrize("seed", range(8))
 def test_a_large_value_passes_the_parser_wherever_it_is_cut(seed):
     draw = random.Random(seed)
-    bodies = [draw.randbytes(size) for size in (VALUE_MOST, VALUE_MOST + 1, 200_000, 3)]
+    bodies = [draw.randbytes(size) for size in (VALUE_BYTES_MAX, VALUE_BYTES_MAX + 1, 200_000, 3)]
     data = b"".join(post(body, b"%d" % n) for n, body in enumerate(bodies))
-    reader = Reader(2 * VALUE_MOST, large_at=4, large_last=True)
+    reader = Reader(2 * VALUE_BYTES_MAX, large_at=4, large_last=True)
     commands, passed = [], []
     while data:
         size = draw.choice((1, 2, 3, 7, 50, 4096, 70_000))
@@ -44,23 +44,27 @@
             commands.append(command)
     assert reader.between and reader.passing is None
     assert [command[2] for command in commands] == [b"0", b"1", b"2", b"3"]
-    assert [command[4] for command in commands] == [bodies[0], MARK, MARK, bodies[3]]
+    assert [command[4] for command in commands] == [bodies[0], PLACEHOLDER, PLACEHOLDER, bodies[3]]
     assert b"".join(passed) == bodies[1] + bodies[2]
-    assert [large.length for large in reader.large] == [VALUE_MOST + 1, 200_000]
+    assert [large.length for large in reader.large] == [VALUE_BYTES_MAX + 1, 200_000]
 
 
 @pytest.mark.parametrize(
     "data",
     [
-        b"*5\r\n" + b"$1\r\nx\r\n" * 4 + b"$%d\r\n" % (LARGE_MOST + 1),
-        b"*5\r\n" + b"$1\r\nx\r\n" * 3 + b"$%d\r\n" % (3 * VALUE_MOST),  # not the place for one
-        b"*6\r\n" + b"$1\r\nx\r\n" * 4 + b"$%d\r\n" % (3 * VALUE_MOST),  # not the last
-        b"$%d\r\n" % (3 * VALUE_MOST),
-        b"*5\r\n" + b"$1\r\nx\r\n" * 4 + b"$%d\r\n" % (3 * VALUE_MOST) + b"x" * (3 * VALUE_MOST) + b"\rx",
+        b"*5\r\n" + b"$1\r\nx\r\n" * 4 + b"$%d\r\n" % (LARGE_VALUE_BYTES_MAX + 1),
+        b"*5\r\n" + b"$1\r\nx\r\n" * 3 + b"$%d\r\n" % (3 * VALUE_BYTES_MAX),  # not the place for one
+        b"*6\r\n" + b"$1\r\nx\r\n" * 4 + b"$%d\r\n" % (3 * VALUE_BYTES_MAX),  # not the last
+        b"$%d\r\n" % (3 * VALUE_BYTES_MAX),
+        b"*5\r\n"
+        + b"$1\r\nx\r\n" * 4
+        + b"$%d\r\n" % (3 * VALUE_BYTES_MAX)
+        + b"x" * (3 * VALUE_BYTES_MAX)
+        + b"\rx",
     ],
 )
 def test_what_is_too_long_or_out_of_place_is_wrong(data):
-    reader = Reader(2 * VALUE_MOST, large_at=4, large_last=True)
+    reader = Reader(2 * VALUE_BYTES_MAX, large_at=4, large_last=True)
     reader.feed(data)
     with pytest.raises(hiredis.ProtocolError):
         while reader.gets() is not False:
@@ -69,7 +73,7 @@
 
 @asyncio_test
 async def test_a_large_answer_streams_and_the_connection_is_used_again(monkeypatch):
-    monkeypatch.setattr(hosts_module, "REST", 0.0)  # what rests is not used again yet
+    monkeypatch.setattr(hosts_module, "CONNECTION_COOLDOWN", 0.0)  # what rests is not used again yet
     host = await FakeHost("a").listen()
     rig = Rig(host)
     caller = await rig.caller()
@@ -195,7 +199,7 @@
 
 @asyncio_test
 async def test_a_host_that_falls_silent_within_an_answer_is_given_up(monkeypatch):
-    monkeypatch.setattr(hosts_module, "SILENT_FOR", 0.3)
+    monkeypatch.setattr(hosts_module, "STREAM_IDLE_TIMEOUT", 0.3)
     host = await FakeHost("a").listen()
     host.script = lambda command: answer(BIG)[:100_000]
     caller = await Rig(host).caller()
@@ -207,7 +211,7 @@
 @asyncio_test
 async def test_a_client_that_reads_slowly_pauses_its_host_and_one_that_leaves_frees_it():
     host = await FakeHost("a").listen()
-    value = random.Random(6).randbytes(LARGE_MOST)
+    value = random.Random(6).randbytes(LARGE_VALUE_BYTES_MAX)
     host.script = lambda command: answer(value)
     rig = Rig(host)
     await rig.clients.listen()
@@ -232,9 +236,9 @@
 
 @asyncio_test
 async def test_a_slow_reader_is_kept_as_long_as_it_reads(monkeypatch):
-    monkeypatch.setattr(clients_module, "UNREAD_FOR", clients_module.WHOLE_WITHIN + 0.6)
+    monkeypatch.setattr(clients_module, "WRITE_STALL_TIMEOUT", clients_module.COMMAND_TIMEOUT + 0.6)
     host = await FakeHost("a").listen()
-    value = random.Random(6).randbytes(LARGE_MOST)
+    value = random.Random(6).randbytes(LARGE_VALUE_BYTES_MAX)
     host.script = lambda command: answer(value)
     rig = Rig(host)
     caller = await rig.caller()
@@ -294,7 +298,7 @@
 
 @asyncio_test
 async def test_who_finds_no_room_for_long_is_told_that_trying_again_is_harmless(monkeypatch):
-    monkeypatch.setattr(clients_module, "ROOM_WITHIN", 0.3)
+    monkeypatch.setattr(clients_module, "UPLOAD_ROOM_TIMEOUT", 0.3)
     host = await FakeHost("a").listen()
     rig = Rig(host)
     rig.clients.room.free = 10
@@ -325,7 +329,7 @@
 async def test_a_body_over_the_limit_gets_its_error_line(more):
     host = await FakeHost("a").listen()
     caller = await Rig(host).caller()
-    caller.transport.write(post(b"x" * (LARGE_MOST + 1 + more)))
+    caller.transport.write(post(b"x" * (LARGE_VALUE_BYTES_MAX + 1 + more)))
     assert str((await caller.replied())[0]).startswith("ERR")
     await until(lambda: caller.closed)
     assert host.commands == []
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -159,8 +159,8 @@
 
 @asyncio_test
 async def test_an_overbooked_discovery_is_called_ever_less_and_the_watch_goes_on_once_it_answers(monkeypatch):
-    monkeypatch.setattr(discovery, "PACE", 0.1)
-    monkeypatch.setattr(discovery, "CALLED_WITHIN", 0.8)
+    monkeypatch.setattr(discovery, "REFUSED_INTERVAL_MIN", 0.1)
+    monkeypatch.setattr(discovery, "CALL_INTERVAL_MAX", 0.8)
     whole = {"seq": 5, "whole": True, "hosts": [line("a")]}
     empty = {"seq": 5, "whole": False, "hosts": []}
     agent, told = await watched([503] * 5 + [whole] + [empty] * 9)
@@ -219,8 +219,8 @@
     assert moments[1] == [0.0]
     assert max(moments[3]) < 0.5
     for gateways in (20, 40, 230):
-        assert max(moments[gateways]) <= discovery.CALLED_WITHIN
-        evenly = max(1 / discovery.CALLS_APART, gateways / discovery.CALLED_WITHIN)  # in a second
+        assert max(moments[gateways]) <= discovery.CALL_INTERVAL_MAX
+        evenly = max(1 / discovery.FIRST_CALL_SPACING, gateways / discovery.CALL_INTERVAL_MAX)  # in a second
         most = max(sum(at <= m < at + 1 for m in moments[gateways]) for at in moments[gateways])
         assert most <= 2 * evenly
     assert span_of(60, asked=False) == 0.0
@@ -230,11 +230,11 @@
     spans = set()
     for seed in range(8):
         watch = Watch(Later(spans), ("127.0.0.1", 1), ZONES, list, draw=random.Random(seed).random)
-        watch.due = discovery.CALLED_WITHIN  # a try has begun just now
+        watch.due = discovery.CALL_INTERVAL_MAX  # a try has begun just now
         watch.strained()
         watch._later()
     assert len(spans) == 8
-    assert all(discovery.PACE / 2 <= span <= discovery.PACE for span in spans)
+    assert all(discovery.REFUSED_INTERVAL_MIN / 2 <= span <= discovery.REFUSED_INTERVAL_MIN for span in spans)
 
 
 class Later:
--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -248,8 +248,8 @@
         """Each request without its answer has its one timer, due by its time; each attempt one owner."""
         for call in self.driver.calls.values():
             if not call.finished:
-                until = (call.until - self.started) / 1e6 + 100.0
-                assert call.guard.pending and call.guard.when <= until + 0.0021
+                until = (call.deadline - self.started) / 1e6 + 100.0
+                assert call.deadline_timer.pending and call.deadline_timer.when <= until + 0.0021
                 COVERED["waiting, sent" if call.attempts else "waiting, not sent"] += 1
             for attempt in call.attempts:
                 assert attempt.ended or self._has_owner(attempt)
@@ -297,7 +297,7 @@
             assert len(times) == (0 if call in world.gone and not times else 1), call
             COVERED["gone" if call in world.gone else "answered"] += 1
             for at in times:
-                late = at - ((call.until - world.started) / 1e6 + 100.0)
+                late = at - ((call.deadline - world.started) / 1e6 + 100.0)
                 assert late <= BEHIND + 0.0021, (seed, call)
                 COVERED["at its last moment"] += late > -0.001
     assert all(COVERED[what] for what in ("gone", "answered", "waiting, sent", "waiting, not sent"))
--- a/tests/test_registry_fleet.py
+++ b/tests/test_registry_fleet.py
@@ -1,4 +1,4 @@
-"""The list service before a fleet of 200 watchers; with ``-s`` the figures of docs/measurements.md are told."""
+"""The list service before a fleet of 200 watchers; ``-s`` prints the figures of docs/measurements.md."""
 
 from __future__ import annotations
 
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -5,7 +5,7 @@
 import hiredis
 import pytest
 
-from saffrongw.resp import ARRAY_MOST, LINE_MOST, Reader
+from saffrongw.resp import ARRAY_LENGTH_MAX, LINE_BYTES_MAX, Reader
 
 
 def read(chunks) -> tuple[list, bool]:
@@ -41,7 +41,7 @@
 @pytest.mark.parametrize(
     "bad",
     [
-        b"*%d\r\n" % (ARRAY_MOST + 1),
+        b"*%d\r\n" % (ARRAY_LENGTH_MAX + 1),
         b"*1\r\n*%d\r\n" % 2**31,
         b"*-2\r\n",
         b"$101\r\n",
@@ -54,7 +54,7 @@
         b"$4\r\nabc\r\n*1\r\n",
         b"%1\r\n",
         b"PING\r\n",
-        b"+" + b"x" * LINE_MOST,
+        b"+" + b"x" * LINE_BYTES_MAX,
     ],
 )
 def test_what_is_out_of_bounds_is_told_after_all_before_it_was_read(bad):
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -13,7 +13,7 @@
 from test_news import ZONES, Agent
 
 from saffrongw import discovery
-from saffrongw.discovery import TOLD_WITHIN, WAIT, Exchange, Watch
+from saffrongw.discovery import LONG_POLL_WAIT, STALENESS_LIMIT, Exchange, Watch
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 
@@ -189,7 +189,7 @@
             assert len(world.pending()) == 1
             state = world.watch.exchange
             assert state is None or state.transport is None or not state.transport.aborted
-        healthy_until_told(world, TOLD_WITHIN)
+        healthy_until_told(world, STALENESS_LIMIT)
 
 
 @pytest.mark.parametrize("refusals", [0, 1, 3, 6])
@@ -220,7 +220,7 @@
                     world.fire()
             else:
                 world.fire()
-        assert last + WAIT < world.now < last + TOLD_WITHIN - 1
+        assert last + LONG_POLL_WAIT < world.now < last + STALENESS_LIMIT - 1
 
 
 @pytest.mark.parametrize("end", ["eof", "reset"])
@@ -247,14 +247,14 @@
     while world.watch.exchange is exchange:
         exchange.data_received(piece)
         sent += len(piece)
-        assert sent <= discovery.LIST_MOST + len(piece)
+        assert sent <= discovery.RESPONSE_BYTES_MAX + len(piece)
     assert exchange.transport.aborted
 
 
 @asyncio_test
 async def test_a_connection_that_comes_up_as_its_time_runs_out_does_not_end_the_watch(monkeypatch):
     """The loop closed it without a word to anyone: no call was ever made again."""
-    monkeypatch.setattr(discovery, "CONNECT_WITHIN", 0.05)
+    monkeypatch.setattr(discovery, "CONNECT_TIMEOUT", 0.05)
     connected = Watch.connected
 
     def held(watch, *words):
