saffrongw/clients.py in files by topic: request, answer, upload, connection, drain, listener

Imports go one way: a test walks those within each package, types apart, and finds a planted circle. Tests follow the names; none was changed otherwise.

--- a/saffrongw/process.py
+++ b/saffrongw/process.py
@@ -95,7 +95,7 @@
                 task.cancel()
         if self.members:
             self.members.leave()
-        await self.clients.drain(SHUTDOWN_ACCEPT_TIME)
+        await self.clients.drain.shut_down(SHUTDOWN_ACCEPT_TIME)
         if self.metrics:
             await self.metrics.end()
 
@@ -152,7 +152,7 @@
             if config.cluster:
                 from .members import Members  # hashes: only where it is wanted
 
-                self.members = Members(driver, config, self.peers, self.clients.leave)
+                self.members = Members(driver, config, self.peers, self.clients.drain.leave)
                 self.control.members = self.members
             await listening.now("peers", config.peer_listen, functools.partial(self.peers.listen, at))
         driver.stats.start(self.loop, self._gauges)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -365,8 +365,8 @@
 
 
 PATIENT = """
-from saffrongw import __main__, clients
-clients.COMMAND_TIMEOUT = 60.0
+from saffrongw import __main__, client
+client.COMMAND_TIMEOUT = 60.0
 raise SystemExit(__main__.main())
 """
 
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -18,8 +18,9 @@
 from test_large import answer, post
 
 from orchidlane import interface as api
-from saffrongw import clients as clients_module
-from saffrongw.clients import COMMAND_TIMEOUT, COMMANDS_PER_TURN, SURPLUS_CONNECTIONS_MAX, Client, Stage
+from saffrongw import client as client_module
+from saffrongw import drain as drain_module
+from saffrongw.client import COMMAND_TIMEOUT, COMMANDS_PER_TURN, SURPLUS_CONNECTIONS_MAX, Client, Stage
 from saffrongw.hosts import CONNECTION_COOLDOWN
 
 PING = hiredis.pack_command((b"PING",))
@@ -91,7 +92,7 @@
 
 async def by_drain(rig: Rig, plain: Plain, client: Client) -> bytes:
     client.waits_since = 0.0
-    rig.clients._close_between()
+    rig.clients.drain._close_between()
     return b""
 
 
@@ -113,7 +114,7 @@
 
 async def by_leaving(rig: Rig, plain: Plain, client: Client) -> bytes:
     client.waits_since = 0.0
-    rig.clients._close_without_request()
+    rig.clients.drain._close_without_request()
     return b""
 
 
@@ -163,7 +164,7 @@
     host = await FakeHost("a").listen()
     rig = Rig(host)
     plain, client = await connected(rig)
-    rig.clients.draining = True
+    rig.clients.drain.closes = True
     client.waits_since = 0.0
     plain.send(PING + request(1) + PING)
     assert await plain.rest() == b"+PONG\r\n$2\r\nok\r\n+PONG\r\n"
@@ -172,7 +173,7 @@
 
 @asyncio_test
 async def test_a_half_closed_connection_is_cut_in_the_end_and_those_are_bounded(monkeypatch):
-    monkeypatch.setattr(clients_module, "LINGER_TIMEOUT", 0.3)
+    monkeypatch.setattr(client_module, "LINGER_TIMEOUT", 0.3)
     rig = Rig(await FakeHost("a").listen())
     held = [await connected(rig) for _ in range(4)]
     rig.clients.most = 4
@@ -193,7 +194,7 @@
     late = [Plain(rig, where) for _ in range(5)]
     for plain in late:
         plain.send(request())
-    rig.clients._stop_accepting()  # in the same turn: nobody has accepted them
+    rig.clients.stop_accepting()  # in the same turn: nobody has accepted them
     for plain in late:
         assert await plain.read(8) == b"$2\r\nok\r\n"
     with pytest.raises(ConnectionRefusedError):
@@ -204,8 +205,8 @@
 @asyncio_test
 async def test_a_drain_waits_for_what_a_transport_has_still_to_send(monkeypatch):
     """The process ended once the last answer was handed to the loop, which held most of it."""
-    monkeypatch.setattr(clients_module, "SHUTDOWN_REFUSE_DELAY", 0.0)
-    monkeypatch.setattr(clients_module, "SHUTDOWN_COMMAND_TIMEOUT", 0.0)
+    monkeypatch.setattr(drain_module, "SHUTDOWN_REFUSE_DELAY", 0.0)
+    monkeypatch.setattr(drain_module, "SHUTDOWN_COMMAND_TIMEOUT", 0.0)
     host = await FakeHost("a").listen()
     host.script = lambda command: answer(b"v" * 60_000)
     rig = Rig(host)
@@ -215,7 +216,7 @@
     count = 5
     plain.send(b"".join(request(number) for number in range(count)))
     await until(lambda: len(host.commands) == count and not rig.driver.calls)
-    drain = asyncio.create_task(rig.clients.drain(0.0))
+    drain = asyncio.create_task(rig.clients.drain.shut_down(0.0))
     await until(lambda: client.stage is Stage.HALF_CLOSED)
     assert client.transport.get_write_buffer_size() and not drain.done()
     assert await plain.rest() == (b"$60000\r\n" + b"v" * 60_000 + b"\r\n") * count
@@ -227,7 +228,7 @@
 @asyncio_test
 async def test_a_drain_ends_however_long_clients_go_on_sending(monkeypatch):
     """A connection that always had a request open was never closed: it was served up to SIGKILL."""
-    monkeypatch.setattr(clients_module, "SHUTDOWN_REFUSE_DELAY", 0.2)
+    monkeypatch.setattr(drain_module, "SHUTDOWN_REFUSE_DELAY", 0.2)
     host = await FakeHost("a").listen()
     out = []
     host.script = lambda command: out.append(host.sender)
@@ -235,7 +236,7 @@
     caller = await rig.caller()
     caller.call(number=b"0")
     await until(lambda: len(host.commands) == 1)
-    drain = asyncio.create_task(rig.clients.drain(0.0))
+    drain = asyncio.create_task(rig.clients.drain.shut_down(0.0))
     asked, stats = 1, rig.driver.stats
     while True:  # the next one comes before the last is answered
         caller.call(number=b"%d" % asked)
@@ -254,8 +255,8 @@
 
 @asyncio_test
 async def test_a_drain_ends_though_a_client_reads_ever_so_slowly(monkeypatch):
-    monkeypatch.setattr(clients_module, "SHUTDOWN_REFUSE_DELAY", 0.0)
-    monkeypatch.setattr(clients_module, "WRITE_STALL_TIMEOUT", 0.5)
+    monkeypatch.setattr(drain_module, "SHUTDOWN_REFUSE_DELAY", 0.0)
+    monkeypatch.setattr(drain_module, "WRITE_STALL_TIMEOUT", 0.5)
     host = await FakeHost("a").listen()
     host.script = lambda command: answer(b"v" * 60_000)
     rig = Rig(host)
@@ -264,7 +265,7 @@
     plain.send(b"".join(request(number) for number in range(4)))
     await until(lambda: len(host.commands) == 4 and not rig.driver.calls)
     client.look = lambda before: None  # it takes a byte now and then: never stuck for long
-    await asyncio.wait_for(rig.clients.drain(0.0), 10)
+    await asyncio.wait_for(rig.clients.drain.shut_down(0.0), 10)
     assert not rig.clients.is_over
 
 
@@ -343,7 +344,7 @@
 @asyncio_test
 async def test_nothing_is_sent_for_a_client_that_has_gone(wait, leave, may_cancel, monkeypatch):
     """Wherever its request waits: who was not read from was not seen to go."""
-    monkeypatch.setattr(clients_module, "PIPELINE_MAX", 16)
+    monkeypatch.setattr(client_module, "PIPELINE_MAX", 16)
     host = await FakeHost("a").listen()
     permissions = SITE["permissions"] | {"cancel": may_cancel, "connectTimeout": 5_000_000}
     rig = Rig(host, permissions=permissions, sockets=256)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -9,10 +9,10 @@
 import pytest
 from conftest import FakeHost, Rig, asyncio_test, until
 
-from saffrongw import clients as clients_module
+from saffrongw import drain as drain_module
 from saffrongw import listening
-from saffrongw.clients import DRAIN_NOTICE_DELAY, DRAIN_REFUSE_DELAY
 from saffrongw.control import CALLERS_MOST, LINE_MOST, Control
+from saffrongw.drain import DRAIN_NOTICE_DELAY, DRAIN_REFUSE_DELAY
 
 
 async def controlled(rig: Rig) -> Control:
@@ -195,7 +195,7 @@
 
 @asyncio_test
 async def test_who_is_late_with_a_request_during_a_drain_does_not_keep_the_connection(monkeypatch):
-    monkeypatch.setattr(clients_module, "DRAIN_REFUSE_DELAY", DRAIN_NOTICE_DELAY + 0.1)
+    monkeypatch.setattr(drain_module, "DRAIN_REFUSE_DELAY", DRAIN_NOTICE_DELAY + 0.1)
     host = await FakeHost("a").listen()
     rig = Rig(host)
     control = await controlled(rig)
@@ -221,7 +221,7 @@
     caller.call(wait=10_000)
     await until(lambda: host.commands)
     await call(control, b"LEAVE")
-    ending = asyncio.create_task(rig.clients.drain(0.1))
+    ending = asyncio.create_task(rig.clients.drain.shut_down(0.1))
     await asyncio.sleep(0.3)
     assert (await call(control, b"JOIN")).startswith("error ending")
     assert (await call(control, b"HEALTH")).startswith("error ending")
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -15,15 +15,15 @@
 
 from orchidlane import interface as api
 from saffrongw import hosts as hosts_module
-from saffrongw.clients import (
+from saffrongw.client import (
     COMMAND_BYTES_MAX_ALL,
     COMMAND_TIMEOUT,
     PIPELINE_MAX,
     SURPLUS_CONNECTIONS_MAX,
-    SWEEP_INTERVAL,
     WRITE_STALL_TIMEOUT,
     Stage,
 )
+from saffrongw.clients import SWEEP_INTERVAL
 
 
 def error(reply) -> str:
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -11,8 +11,9 @@
 import pytest
 from conftest import FakeHost, Rig, asyncio_test, until
 
-from saffrongw import clients as clients_module
+from saffrongw import client as client_module
 from saffrongw import hosts as hosts_module
+from saffrongw import uploads as uploads_module
 from saffrongw.resp import LARGE_VALUE_BYTES_MAX, PLACEHOLDER, VALUE_BYTES_MAX, Reader
 
 BIG = random.Random(5).randbytes(1_500_000)
@@ -236,7 +237,7 @@
 
 @asyncio_test
 async def test_a_slow_reader_is_kept_as_long_as_it_reads(monkeypatch):
-    monkeypatch.setattr(clients_module, "WRITE_STALL_TIMEOUT", clients_module.COMMAND_TIMEOUT + 0.6)
+    monkeypatch.setattr(client_module, "WRITE_STALL_TIMEOUT", client_module.COMMAND_TIMEOUT + 0.6)
     host = await FakeHost("a").listen()
     value = random.Random(6).randbytes(LARGE_VALUE_BYTES_MAX)
     host.script = lambda command: answer(value)
@@ -298,7 +299,7 @@
 
 @asyncio_test
 async def test_who_finds_no_room_for_long_is_told_that_trying_again_is_harmless(monkeypatch):
-    monkeypatch.setattr(clients_module, "UPLOAD_ROOM_TIMEOUT", 0.3)
+    monkeypatch.setattr(uploads_module, "UPLOAD_ROOM_TIMEOUT", 0.3)
     host = await FakeHost("a").listen()
     rig = Rig(host)
     rig.clients.room.free = 10
@@ -355,7 +356,7 @@
     caller = await rig.caller()
     caller.call()
     await until(lambda: rig.hosts.streams)
-    ending = asyncio.create_task(rig.clients.drain(0.1))
+    ending = asyncio.create_task(rig.clients.drain.shut_down(0.1))
     await asyncio.sleep(1.5)
     assert not ending.done()
     host.connections[0].transport.write(answer(BIG)[100_000:])
--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -18,7 +18,8 @@
 from conftest import SITE, FakeHost
 
 from saffrongw import config
-from saffrongw.clients import Client, Clients
+from saffrongw.client import Client
+from saffrongw.clients import Clients
 from saffrongw.driver import Attempt, Call, Driver
 from saffrongw.hosts import Connection, Hosts, Stage
 
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -68,6 +68,32 @@
 HEAVY = {"msgspec", "prometheus_client", "click", "numpy", "tomlkit", "tomllib", "secrets"}
 
 
+def cycle(imports: dict[str, set[str]]) -> list[str]:
+    """Modules that import each other in a circle; none: empty."""
+
+    def walk(name: str, path: list[str]) -> list[str]:
+        if name in path:
+            return path[path.index(name) :]
+        return next((found for other in sorted(imports[name]) if (found := walk(other, [*path, name]))), [])
+
+    return next((found for name in sorted(imports) if (found := walk(name, []))), [])
+
+
+@pytest.mark.parametrize("package", ["saffrongw", "orchidlane", "registry", "ops"])
+def test_no_modules_of_a_package_import_each_other(package):
+    """But for their types, in what only a type checker reads."""
+    imports: dict[str, set[str]] = {}
+    for file in (ROOT / package).glob("*.py"):
+        text = re.sub(r"^if TYPE_CHECKING:\n(?:    .*\n|\n)+", "", file.read_text(), flags=re.M)
+        names = re.findall(r"^from \.(\w+) import", text, re.M)
+        for several in re.findall(r"^from \. import (\([^)]*\)|.*)", text, re.M):
+            names += re.findall(r"\w+", several)
+        imports[file.stem] = {name for name in names if (ROOT / package / f"{name}.py").exists()}
+    assert sum(map(len, imports.values())) > 0
+    assert cycle(imports) == []
+    assert cycle(imports | {"a": {"b"}, "b": {"c"}, "c": {"a"}}) == ["a", "b", "c"]
+
+
 @pytest.mark.parametrize("program", ["saffrongw.__main__", "registry.__main__", "orchidlane.wirehost"])
 def test_run_imports_nothing_heavy(program):
     code = f"import sys, {program}; print(*sys.modules)"
