An attempt waits for a connection that cools down instead of opening another

Lines at fault: `Pool.send`. Now attempts wait in one queue; a connection that has cooled down takes the one that waits longest, and only what is missing beyond those that cool down or open is opened. One timer a pool, in its state, ends the wait.

--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -82,6 +82,7 @@
         # Not the loop's own time-out: where the loop is behind, that closes a connection which has come up.
         self.timer = pool.hosts.loop.call_later(pool.hosts.connect_timeout, pool.failed, self)
         self.task = pool.hosts.loop.create_task(self._open())
+        pool.opening += 1
         pool.hosts.sockets += 1  # here, not in the task: a burst comes before any of them has run
 
     async def _open(self) -> None:
@@ -220,6 +221,7 @@
             return
         if self.stage is Stage.IDLE:
             self.pool.idle.remove(self)
+        self.pool.opening -= self.stage is Stage.OPENING
         self.stage, self.attempt = Stage.CLOSED, None
         self.pool.hosts.sockets -= 1
         self.timer.cancel()
@@ -241,21 +243,39 @@
         self.hosts, self.address = hosts, address
         self.idle: list[Connection] = []  # the one longest idle stands first
         self.waiting: deque[Attempt] = deque()
+        self.opening = 0  # connections that are not up yet
+        self.timer: asyncio.TimerHandle | None = None  # when the first that cools down may be used
         self.retired = False
 
     def send(self, attempt: Attempt) -> None:
-        """Use an idle connection, or open one."""
-        if connection := self._rested():
-            connection.begin(attempt, self.hosts.driver.clock())
-            return
-        if not self.hosts.make_room():
-            self.hosts.driver.attempt_ended(attempt, api.Outcome.NOT_CONNECTED)
-            return
+        """It waits its turn for a connection: at once, where one is idle and has cooled down."""
         self.waiting.append(attempt)
         attempt.link = self
-        Connection(self)
-        if self.idle:  # one that rests may be sooner
-            self.hosts.loop.call_later(CONNECTION_COOLDOWN, self._serve)
+        self._serve()
+
+    def _serve(self) -> None:
+        """Attempts that wait take connections that have cooled down. For what is left, one that cools down is
+        sooner than a new one and costs no handshake; as many as are missing then are opened."""
+        while self.waiting and (connection := self._rested()):
+            if attempt := self._next():
+                connection.begin(attempt, self.hosts.driver.clock())
+            else:
+                self.free(connection)
+        while len(self.waiting) > len(self.idle) + self.opening:
+            if self.hosts.make_room():
+                Connection(self)
+            else:
+                self.hosts.driver.attempt_ended(self.waiting.pop(), api.Outcome.NOT_CONNECTED)
+        self._serve_in_time()
+
+    def _serve_in_time(self) -> None:
+        """One timer, as long as an attempt waits beside a connection that cools down."""
+        if self.timer:
+            self.timer.cancel()
+        self.timer = None
+        if self.waiting and self.idle:
+            span = self.idle[0].idle_since + CONNECTION_COOLDOWN - self.hosts.loop.time()
+            self.timer = self.hosts.loop.call_later(max(0.001, span), self._serve)
 
     def _rested(self) -> Connection | None:
         """The connection used last of those that have rested."""
@@ -280,6 +300,7 @@
 
     def up(self, connection: Connection) -> None:
         """It is up: the attempt that waits longest takes it."""
+        self.opening -= 1
         connection.stage = Stage.BUSY
         if attempt := self._next():
             connection.begin(attempt, self.hosts.driver.clock())
@@ -292,16 +313,8 @@
         self.idle.append(connection)
         if self.retired:
             connection.close()
-        elif self.waiting:
-            self.hosts.loop.call_later(CONNECTION_COOLDOWN, self._serve)
-
-    def _serve(self) -> None:
-        """Attempts that still wait take connections that have rested."""
-        while self.waiting and (connection := self._rested()):
-            if attempt := self._next():
-                connection.begin(attempt, self.hosts.driver.clock())
-            else:
-                self.free(connection)
+        else:
+            self._serve_in_time()
 
     def _next(self) -> Attempt | None:
         """The attempt that waits longest. Guards rule 2: one that may not be sent any more never was."""
