--- a/lab/placing.py
+++ b/lab/placing.py
@@ -46,7 +46,7 @@
         seeds = [self._at(other) for other in join]
         seat = Seat(self.factory(rank, self.size, "lab", life, at, seeds, int(self.seeds.integers(2**31))))
         self.seats[at] = seat
-        self.kernel.after(int(self.draw() * places.PACE), self._tick, at, seat)
+        self.kernel.after(int(self.draw() * places.GREETING_INTERVAL), self._tick, at, seat)
         return seat
 
     @staticmethod
@@ -78,7 +78,7 @@
     def _tick(self, at: Address, seat: Seat) -> None:
         if not seat.dead and self.seats[at] is seat:
             self._carry_out(at, seat, seat.core.tick(self.kernel.now))
-            self.kernel.after(places.PACE, self._tick, at, seat)
+            self.kernel.after(places.GREETING_INTERVAL, self._tick, at, seat)
 
     def say(self, source: Address, to: Address, body: bytes) -> None:
         """A datagram, also a forged one."""
--- a/saffrongw/answers.py
+++ b/saffrongw/answers.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from .driver import FAILED_REPLY, Call, Source
+from .calls import Call, Source
+from .driver import FAILED_REPLY
 from .resp import CRLF
 
 if TYPE_CHECKING:
--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -14,7 +14,7 @@
 import hiredis
 
 from .answers import Slot
-from .driver import Body, Terms
+from .calls import Body, Terms
 from .requests import BODY_INDEX, Malformed, parse
 from .resp import PLACEHOLDER, VALUE_BYTES_MAX, Large, Reader
 from .uploads import UPLOAD_RESUME_TIMEOUT, Upload
--- /dev/null
+++ b/saffrongw/clock.py
@@ -0,0 +1,15 @@
+"""The gateway's one clock."""
+
+from __future__ import annotations
+
+import time
+
+
+class Clock:
+    """Unix time in microseconds, read once and then advanced by the monotonic clock: it never jumps."""
+
+    def __init__(self) -> None:
+        self.base = time.time_ns() - time.monotonic_ns()
+
+    def __call__(self) -> int:
+        return (self.base + time.monotonic_ns()) // 1_000
--- a/saffrongw/control.py
+++ b/saffrongw/control.py
@@ -17,11 +17,11 @@
 
 log = logs.get(__name__)
 
-CALLERS_MOST = 12  # connections at once: one more closes the one that has been silent longest
-LINE_MOST = 512  # bytes of a call
-SILENT_FOR = 10.0  # seconds until a caller without a whole call is closed
-TAKEN_WITHIN = 1.0  # seconds that a caller has to take its answer and close
-LOOK_EVERY = 0.01  # seconds between two looks whether a handover is over
+CONNECTIONS_MAX = 12  # connections at once: one more closes the one that has been silent longest
+LINE_BYTES_MAX = 512  # bytes of a call
+CALL_TIMEOUT = 10.0  # seconds until a caller without a whole call is closed
+LINGER_TIMEOUT = 1.0  # seconds that a caller has to take its answer and close
+HANDOVER_POLL_INTERVAL = 0.01  # seconds between two looks whether a handover is over
 
 
 class Caller(asyncio.Protocol):
@@ -39,7 +39,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """An operator has connected."""
         self.transport = transport
-        self._close_in(SILENT_FOR)
+        self._close_in(CALL_TIMEOUT)
         self.control.opened(self)
 
     def _close_in(self, seconds: float) -> None:
@@ -51,12 +51,12 @@
         """A call, or a part of it; what follows its line is dropped."""
         if self.answered:
             return
-        self.line += data[: LINE_MOST + 1 - len(self.line)]
+        self.line += data[: LINE_BYTES_MAX + 1 - len(self.line)]
         line, end, _ = self.line.partition(b"\n")
         if end:
             self.answered = True
             self.task = self.control.loop.create_task(self._call(line))
-        elif len(self.line) > LINE_MOST:
+        elif len(self.line) > LINE_BYTES_MAX:
             self.answer("error the line is too long")
 
     async def _call(self, line: bytes) -> None:
@@ -81,7 +81,7 @@
                 self.transport.close()
                 return
             self.transport.write_eof()
-            self._close_in(TAKEN_WITHIN)
+            self._close_in(LINGER_TIMEOUT)
 
     def connection_lost(self, error: Exception | None) -> None:
         """The caller has closed, or was closed."""
@@ -103,17 +103,17 @@
         self.driver, self.clients, self.loop = driver, clients, driver.loop
         self.callers: dict[Caller, None] = {}  # the one that connected first stands first
         self.server: asyncio.Server | None = None
-        self.elder: Other | None = None  # the process before this one, as long as it finishes
+        self.predecessor: Other | None = None  # the process before this one, as long as it finishes
         self.seat: Other | None = None  # where the next process takes over, or has
         self.members: Members | None = None
 
     async def listen(self, address: Address) -> None:
         """Answer from now on; raises OSError."""
-        self.server = await self.loop.create_server(lambda: Caller(self), *address, backlog=CALLERS_MOST)
+        self.server = await self.loop.create_server(lambda: Caller(self), *address, backlog=CONNECTIONS_MAX)
 
     def opened(self, caller: Caller) -> None:
         """One more; a new one is never the one that goes."""
-        if len(self.callers) >= CALLERS_MOST:
+        if len(self.callers) >= CONNECTIONS_MAX:
             oldest = next(iter(self.callers))
             del self.callers[oldest]  # at once: more may come before its end is told
             self.driver.stats["control_evicted"] += 1
@@ -136,7 +136,7 @@
             why_not = self.driver.readiness.why_not
             return f"error {why_not}" if why_not else f"done ready{self.in_doubt()}"
         while self.driver.frozen:  # the next process takes over: nothing would be in force yet
-            await asyncio.sleep(LOOK_EVERY)
+            await asyncio.sleep(HANDOVER_POLL_INTERVAL)
         if self.driver.readiness.handed_on:
             return await self.seat.ask(line)
         return await self.here(line)
@@ -159,8 +159,8 @@
                 if not self.driver.ban(server, word == b"OFFLINE"):
                     return "error no such host was ever listed"
                 log.info("control_call", call=word.decode().lower(), host=server)
-                if self.elder:
-                    await self.elder.ask(line)  # what it still finishes keeps to it, too
+                if self.predecessor:
+                    await self.predecessor.ask(line)  # what it still finishes keeps to it, too
                 return "done out" if word == b"OFFLINE" else "done back"
             case _:
                 return "error no such call"
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -6,16 +6,16 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import ClassVar, Protocol
 
 from ops import logs
 from orchidlane import interface as api
 from orchidlane.rules import Gateway
 
+from .calls import Attempt, Body, Call, Sink, Source, Terms
+from .clock import Clock
 from .config import HostList
 from .readiness import Readiness
 from .stats import Stats
@@ -29,87 +29,6 @@
 CLIENT_GONE_TOLERANCE = 300 * MS  # so long a request may be sent on after its client has gone, unseen
 
 
-@dataclass(frozen=True, slots=True)
-class Terms:
-    """What a client's command says of its request; wait in microseconds."""
-
-    customer: int
-    kind: int
-    plan: int
-    wait: int
-    units: float
-    spread: int
-    first: int
-    is_repeat: bool
-
-
-class Source(Protocol):
-    """Where the pieces of a large answer come from."""
-
-    def pause(self) -> None:
-        """Send no more pieces for now."""
-
-    def resume(self) -> None:
-        """Go on."""
-
-    def abort(self) -> None:
-        """Nobody wants the rest."""
-
-
-class Sink(Protocol):
-    """Where the pieces of a large answer go."""
-
-    def begin(self, length: int, source: Source) -> None:
-        """So many bytes will come."""
-
-    def piece(self, data: bytes) -> None:
-        """Some of them."""
-
-    def end(self) -> None:
-        """They were all."""
-
-    def fail(self) -> None:
-        """The rest will never come."""
-
-    def has_left(self) -> bool:
-        """Whether the client has closed its connection, seen by the loop or not."""
-
-
-Body = tuple[bytes, ...]  # a large one, in the pieces that it came in
-
-
-@dataclass(slots=True, eq=False)
-class Call:
-    """A client's request: what goes to hosts, and how it stands."""
-
-    event: api.RequestArrived
-    # Command, customer, id, terms before and after the value of ``d``, perhaps body.
-    parts: tuple[bytes | Body, ...]
-    deadline: int  # clock time by which it must be answered
-    answer: Callable[[bytes], None]
-    sink: Sink | None = None  # takes a large answer, and knows whether the client is there; None: a relay's
-    attempts: list[Attempt] = field(default_factory=list)
-    deadline_timer: asyncio.TimerHandle | None = None
-    finished: bool = False
-    elsewhere: bool = False  # the process that took over decides on it
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One send of a call to a host; it ends exactly once."""
-
-    call: Call
-    number: int
-    server: api.Server
-    sent: int
-    give_up_at: int
-    send_by: int = 0  # clock time after which it may not be sent any more; 0: there is none
-    timer: asyncio.TimerHandle | None = None
-    link: object = None  # where hosts.py keeps what carries it
-    whole: bool = False  # its last byte has left: from then on it may run
-    ended: bool = False
-
-
 class Hosts(Protocol):
     """What the driver needs of ``hosts.py``."""
 
@@ -126,7 +45,7 @@
         """Operators took a host out; the attempts that must not be sent any more."""
 
 
-class Heir(Protocol):
+class Successor(Protocol):
     """What the driver needs of ``upgrade.py`` once another process owns the counts."""
 
     def arrived(self, call: Call) -> None:
@@ -150,16 +69,6 @@
         """An attempt has ended."""
 
 
-class Clock:
-    """Unix time in microseconds, read once and then advanced by the monotonic clock: it never jumps."""
-
-    def __init__(self) -> None:
-        self.base = time.time_ns() - time.monotonic_ns()
-
-    def __call__(self) -> int:
-        return (self.base + time.monotonic_ns()) // 1_000
-
-
 class Driver:
     """The one Gateway with its clock and timers, and the bookkeeping of answers owed."""
 
@@ -175,7 +84,7 @@
         self.pending: deque[api.Event] = deque()
         self.feeding = False
         self.frozen = False  # the state is being handed over: events wait
-        self.heir: Heir | None = None  # the process that owns the counts now
+        self.successor: Successor | None = None  # the process that owns the counts now
         self.observer: Observer | None = None
         # Looks whether we stood still, before each decision: what the decision must know of it.
         self.before: Callable[[], api.MembersChanged | None] | None = None
@@ -212,7 +121,7 @@
         call = Call(event, parts, self.clock() + left, answer, sink)
         self.calls[self.last_number] = call
         call.deadline_timer = self._at(call.deadline, self._time_up, call)
-        if self.heir:
+        if self.successor:
             self._pass_on(call)
         else:
             self.feed(event)
@@ -231,7 +140,7 @@
             self._observe(call, "client_gone")
             self._close(call)
             if call.elsewhere:
-                self.heir.client_gone(call)
+                self.successor.client_gone(call)
             else:
                 self.feed(api.ClientGone(call.event.request))
             for attempt in call.attempts:  # what has not left whole must not leave any more
@@ -324,8 +233,8 @@
     def feed(self, event: api.Event) -> None:
         """One event to the module; what an action leads to at once waits until all of them are done."""
         self.pending.append(event)
-        if self.heir and isinstance(event, api.AttemptEnded | api.AttemptElsewhere | api.PeerMessage):
-            self.heir.told(event)
+        if self.successor and isinstance(event, api.AttemptEnded | api.AttemptElsewhere | api.PeerMessage):
+            self.successor.told(event)
         if self.feeding or self.frozen:
             return
         self.feeding = True
@@ -368,9 +277,9 @@
             if not (isinstance(event, api.RequestArrived | api.ClientGone) and event.request in over):
                 self.feed(event)
 
-    def hand_on(self, heir: Heir) -> None:
+    def hand_on(self, successor: Successor) -> None:
         """Another process owns the counts: it decides on all that has not been sent to a host yet."""
-        self.heir = heir
+        self.successor = successor
         unsent = [call for call in self.calls.values() if not call.attempts and not call.finished]
         waiting, self.pending = self.pending, deque()
         self.frozen = False
@@ -387,7 +296,7 @@
             return self._finish(call, b"-BUSY\r\n")
         self.stats["relayed"] += 1
         call.elsewhere = True
-        return self.heir.arrived(call)
+        return self.successor.arrived(call)
 
     def answered_elsewhere(self, number: int, reply: bytes) -> None:
         """The process that decides on a request has answered it; or it is gone, and nobody will."""
@@ -413,8 +322,8 @@
             self._at(action.send_by, self._withdraw, attempt)
         if give_up_at < call.deadline:  # else the call's own timer ends it: one less for every attempt
             attempt.timer = self._at(give_up_at, self._timed_out, attempt)
-        if self.heir:
-            self.heir.told(api.AttemptElsewhere(call.event, attempt.number, attempt.server, now))
+        if self.successor:
+            self.successor.told(api.AttemptElsewhere(call.event, attempt.number, attempt.server, now))
         if self.is_wanted(attempt):
             self.hosts.send(attempt)
 
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -16,8 +16,9 @@
 
 from orchidlane import interface as api
 
+from .calls import Attempt, Sink
 from .config import Address, HostList
-from .driver import Attempt, Driver, Sink
+from .driver import Driver
 from .resp import CRLF, VALUE_BYTES_MAX, Large, Reader
 
 REPLY_BYTES_MAX = 2 * VALUE_BYTES_MAX  # bytes of a whole answer but for a large value: figures and a report
--- a/saffrongw/listening.py
+++ b/saffrongw/listening.py
@@ -12,7 +12,7 @@
 
 log = logs.get(__name__)
 
-TRY_EVERY = 0.5  # seconds until an address that is taken is tried again
+RETRY_INTERVAL = 0.5  # seconds until an address that is taken is tried again
 
 
 class NoStart(Exception):
@@ -52,8 +52,8 @@
 
 async def _try_on(what: str, address: Address, listen: Callable[[], Awaitable[None]]) -> None:
     while True:
-        log.error("address_taken", purpose=what, address=address, again_in_s=TRY_EVERY)
-        await asyncio.sleep(TRY_EVERY)
+        log.error("address_taken", purpose=what, address=address, again_in_s=RETRY_INTERVAL)
+        await asyncio.sleep(RETRY_INTERVAL)
         try:
             return await listen()
         except OSError as wrong:
--- a/saffrongw/meeting.py
+++ b/saffrongw/meeting.py
@@ -18,10 +18,10 @@
 log = logs.get(__name__)
 
 PATH = "/registry/gateways"
-LEASE = 30.0  # seconds that the list service keeps an address for
-EVERY, SOON = LEASE / 3, 1.0  # seconds between two calls; while nobody is known
-WITHIN = 2.0  # seconds for an answer
-BODY_MOST = 1024 * 1024  # bytes of one: several thousand gateways
+LEASE_TIME = 30.0  # seconds that the list service keeps an address for
+RENEW_INTERVAL, SEARCH_INTERVAL = LEASE_TIME / 3, 1.0  # seconds between two calls; while nobody is known
+RESPONSE_TIMEOUT = 2.0  # seconds for an answer
+RESPONSE_BYTES_MAX = 1024 * 1024  # bytes of one: several thousand gateways
 
 
 class Meeting:
@@ -46,7 +46,7 @@
     async def _run(self) -> None:
         while True:
             try:
-                async with asyncio.timeout(WITHIN):
+                async with asyncio.timeout(RESPONSE_TIMEOUT):
                     told = await self._call()
                 for row in told:
                     self.places.hint(self.clock(), int(row["rank"]), int(row["life"]), address(row["dial"]))
@@ -57,7 +57,7 @@
                 if self.reached is not False:  # once, until it is there again
                     log.warning("meeting_failed", address=self.service, error=str(wrong) or "no answer")
                 self.reached = False
-            span = EVERY if self.places.known else SOON
+            span = RENEW_INTERVAL if self.places.known else SEARCH_INTERVAL
             await asyncio.sleep(span * random.uniform(0.5, 1.0))
 
     async def _call(self) -> list[dict[str, str]]:
@@ -69,7 +69,7 @@
                 "rank": places.rank,
                 "life": places.life,
                 "dial": f"{host}:{port}",
-                "lease_ms": int(1000 * LEASE),
+                "lease_ms": int(1000 * LEASE_TIME),
             }
         ).encode()
         reader, writer = await asyncio.open_connection(*self.service)
@@ -86,14 +86,14 @@
             status, came = 0, b""
             while not isinstance(event := http.next_event(), h11.EndOfMessage):
                 if event is h11.NEED_DATA:
-                    http.receive_data(await reader.read(BODY_MOST))
+                    http.receive_data(await reader.read(RESPONSE_BYTES_MAX))
                 elif isinstance(event, h11.Response):
                     status = event.status_code
                 elif isinstance(event, h11.Data):
                     came += event.data
                 else:
                     raise ValueError("closed within its answer")
-                if len(came) > BODY_MOST:
+                if len(came) > RESPONSE_BYTES_MAX:
                     raise ValueError("an answer too long")
         finally:
             with contextlib.suppress(OSError):
--- a/saffrongw/members.py
+++ b/saffrongw/members.py
@@ -24,7 +24,7 @@
 log = logs.get(__name__)
 
 MS = 1_000  # microseconds
-LEAST = 5 * MS  # two times that lie nearer are one
+TIMER_RESOLUTION = 5 * MS  # two times that lie nearer are one
 STEPS = (AGAIN_AFTER, ASK_AFTER, FAIL_AFTER)  # when a probe is next looked at
 LIFE_BITS = 10  # random ones below the milliseconds of a life
 
@@ -73,13 +73,13 @@
             return now + TICK
         looks = [probe.sent + STEPS[probe.step] for probe in core.probes.values()]
         if self.places and self.places.busy:
-            looks.append(now + where.PACE)
+            looks.append(now + where.GREETING_INTERVAL)
         return min(core.next_probe, now + PERIOD, *looks, *(due for due, _ in core.relaying.values()))
 
     def _wake(self, now: int) -> None:
         """The one timer, set anew where something is due at another time."""
-        due = max(now + LEAST, self._due(now))
-        if self.timer and abs(due - self.due) < LEAST:
+        due = max(now + TIMER_RESOLUTION, self._due(now))
+        if self.timer and abs(due - self.due) < TIMER_RESOLUTION:
             return
         if self.timer:
             self.timer.cancel()
--- a/saffrongw/places.py
+++ b/saffrongw/places.py
@@ -33,18 +33,19 @@
 HELLO, HERE = 1, 2
 HEAD = struct.Struct(f"<BH{messages.LIFE_BYTES}sIIH")
 ROW = struct.Struct(f"<H{messages.LIFE_BYTES}s4sH")
-ROWS_MOST = (messages.SIZE_MOST - messages.START - HEAD.size) // ROW.size
+ROWS_MAX = (messages.SIZE_MOST - messages.START - HEAD.size) // ROW.size
 
-KNOCK, KNOCK_MOST = 250 * MS, 4 * SECOND  # between two tries at ``join`` while nobody is known, doubled
-PACE = 50 * MS  # between two greetings of members that others told of
-ANSWER_WITHIN = 1 * SECOND  # until a greeting is repeated
-TRIES = 4  # of one hint
-ROUND = 5 * SECOND  # between two greetings of a known one: what it knows and we don't
-SOON = 500 * MS  # until the next one where another knew something else
-FULL = 4  # one in so many of them asks for all pages
-AGAIN = 8  # one in so many of them goes to an address of ``join``: groups that came up apart
-OUT_MOST = 256  # numbers of greetings that may still be answered
-ANSWERS = 64.0  # a second, at most: strangers, too, are answered
+# Between two tries at ``join`` while nobody is known, doubled with each.
+JOIN_INTERVAL_MIN, JOIN_INTERVAL_MAX = 250 * MS, 4 * SECOND
+GREETING_INTERVAL = 50 * MS  # between two greetings of members that others told of
+GREETING_TIMEOUT = 1 * SECOND  # until a greeting is repeated
+GREETING_TRIES = 4  # of one hint
+ROUND_INTERVAL = 5 * SECOND  # between two greetings of a known one: what it knows and we don't
+NEXT_PAGE_DELAY = 500 * MS  # until the next one where another knew something else
+FULL_ROUND_EVERY = 4  # one in so many of them asks for all pages
+REJOIN_ROUND_EVERY = 8  # one in so many of them goes to an address of ``join``: groups that came up apart
+PENDING_GREETINGS_MAX = 256  # numbers of greetings that may still be answered
+ANSWERS_PER_SECOND_MAX = 64.0  # strangers, too, are answered
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,29 +122,29 @@
         self.counts: Counter[str] = Counter()
         self.actions: list[Action] = []
         self.next_knock = self.next_round = self.next_greeting = 0
-        self.knock, self.turn, self.rounds = KNOCK, 0, 0
-        self.room, self.filled = ANSWERS, 0
+        self.knock, self.turn, self.rounds = JOIN_INTERVAL_MIN, 0, 0
+        self.room, self.filled = ANSWERS_PER_SECOND_MAX, 0
 
     # -- what happens ---------------------------------------------------------------------------------------
 
     def tick(self, now: int) -> list[Action]:
-        """Time has passed; wants to be called every PACE while ``busy``, else every KNOCK."""
+        """Time has passed; to be called each GREETING_INTERVAL while ``busy``, else JOIN_INTERVAL_MIN."""
         self.actions = []
         if not self.known and now >= self.next_knock and self.join:
             self._knock()
             self.next_knock = now + int(self.knock * (0.5 + self.random.random()))
-            self.knock = min(KNOCK_MOST, 2 * self.knock)
+            self.knock = min(JOIN_INTERVAL_MAX, 2 * self.knock)
         if now >= self.next_greeting and (due := [r for r, hint in self.hints.items() if hint.due <= now]):
-            self.next_greeting = now + PACE
+            self.next_greeting = now + GREETING_INTERVAL
             self._try(now, min(due, key=lambda rank: (self.hints[rank].due, rank)))
         if self.known and now >= self.next_round:
-            self.next_round = now + int(ROUND * (0.5 + self.random.random()))
+            self.next_round = now + int(ROUND_INTERVAL * (0.5 + self.random.random()))
             self.rounds += 1
-            if self.join and self.rounds % AGAIN == 0:
+            if self.join and self.rounds % REJOIN_ROUND_EVERY == 0:
                 self._knock()
             else:
                 place = self.known[self.random.choice(sorted(self.known))]
-                self._greet(place.address, full=self.rounds % FULL == 0)
+                self._greet(place.address, full=self.rounds % FULL_ROUND_EVERY == 0)
         return self._done()
 
     def heard(self, now: int, source: Address, data: bytes) -> list[Action]:
@@ -163,7 +164,9 @@
             newer = known if known and life < known.life else None
             differs = digest != self._digest()
             if differs:  # one of us knows more: who does is asked soon
-                self.next_round = min(self.next_round, now + int(SOON * (0.5 + self.random.random())))
+                self.next_round = min(
+                    self.next_round, now + int(NEXT_PAGE_DELAY * (0.5 + self.random.random()))
+                )
             self._answer(now, source, number, page if differs else None, newer, rank)
         elif (is_full := self.out.pop((number, source), None)) is not None:
             self._bind(rank, Place(life, source))
@@ -218,9 +221,9 @@
 
     def _try(self, now: int, rank: int) -> None:
         hint = self.hints[rank]
-        hint.tries, hint.due = hint.tries + 1, now + ANSWER_WITHIN
+        hint.tries, hint.due = hint.tries + 1, now + GREETING_TIMEOUT
         self._greet(hint.place.address)
-        if hint.tries >= TRIES:
+        if hint.tries >= GREETING_TRIES:
             del self.hints[rank]
 
     def _bind(self, rank: int, place: Place) -> None:
@@ -250,7 +253,7 @@
     def _greet(self, address: Address, page: int = 0, full: bool = False) -> None:
         number = self.random.getrandbits(32)
         self.out[number, address] = full
-        if len(self.out) > OUT_MOST:
+        if len(self.out) > PENDING_GREETINGS_MAX:
             self.out.popitem(last=False)
         self._send(address, HELLO, number, page)
 
@@ -259,7 +262,9 @@
     ) -> None:
         """What we know from a page on (None: nothing); first of all that another process has the asker's
         rank."""
-        self.room = min(ANSWERS, self.room + ANSWERS * (now - self.filled) / SECOND)
+        self.room = min(
+            ANSWERS_PER_SECOND_MAX, self.room + ANSWERS_PER_SECOND_MAX * (now - self.filled) / SECOND
+        )
         self.filled = now
         if self.room < 1:
             self.counts["kept_back"] += 1
@@ -268,7 +273,7 @@
         some, more = [(rank, newer)] if newer else [], 0
         if page is not None:
             others = [r for r in reversed(self.known) if r != rank][page:]
-            room = ROWS_MOST - len(some)
+            room = ROWS_MAX - len(some)
             more = page + room if len(others) > room else 0
             some += [(other, self.known[other]) for other in others[:room]]
         self._send(to, HERE, number, more, some)
--- a/saffrongw/process.py
+++ b/saffrongw/process.py
@@ -83,12 +83,14 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop.set)
         where = upgrade.path(self.config)
-        elder = upgrade.find(where, self.config)
+        predecessor = upgrade.find(where, self.config)
         try:
             self.driver.start(self.config.known)
-            self._follow(elder)
-            await self._face_operators(patient=elder is not None or (where is not None and where.exists()))
-            await self._serve(elder, where)
+            self._follow(predecessor)
+            await self._face_operators(
+                patient=predecessor is not None or (where is not None and where.exists())
+            )
+            await self._serve(predecessor, where)
             await self.stop.wait()
         finally:
             for task in self.trying:
@@ -99,7 +101,7 @@
         if self.metrics:
             await self.metrics.end()
 
-    def _follow(self, elder: upgrade.Elder | None) -> None:
+    def _follow(self, predecessor: upgrade.Predecessor | None) -> None:
         """Watch discovery. Where lists cost, a gateway that starts asks for what changed since the one it is
         given; the process before this one, though, hands over once the list is whole."""
         settings, known = self.config.settings, self.config.known
@@ -110,11 +112,11 @@
             self.config.zones,
             self._listed,
             draw=random.Random(self.config.seed).random,
-            version=None if elder else since,
+            version=None if predecessor else since,
             spread=span_of(settings.gateways, settings.asks_for_list),
         )
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        if elder or since is None:
+        if predecessor or since is None:
             self.watch.start()
         else:
             self.watch.begin()
@@ -142,13 +144,13 @@
             if task:
                 self.trying.append(task)
 
-    async def _serve(self, elder: upgrade.Elder | None, where: Path | None) -> None:
+    async def _serve(self, predecessor: upgrade.Predecessor | None, where: Path | None) -> None:
         """Take over from the process before this one, or start alone; then clients are served."""
         config, driver = self.config, self.driver
-        taken = elder is not None and await elder.take(driver, self.told)
+        taken = predecessor is not None and await predecessor.take(driver, self.told)
         if config.peer_listen and config.settings.may_tell_peers:
             self.peers = Peers(driver, config.peers, config.settings.rank)  # empty: to be learnt
-            at = (elder and elder.peers) or config.peer_listen
+            at = (predecessor and predecessor.peers) or config.peer_listen
             if config.cluster:
                 from .members import Members  # hashes: only where it is wanted
 
@@ -156,12 +158,12 @@
                 self.control.members = self.members
             await listening.now("peers", config.peer_listen, functools.partial(self.peers.listen, at))
         driver.stats.start(self.loop, self._gauges)
-        listener = functools.partial(self.clients.listen, elder and elder.listener)
+        listener = functools.partial(self.clients.listen, predecessor and predecessor.listener)
         await listening.now("clients", config.listen, listener)
         if taken:
-            elder.share = functools.partial(self._share, elder)
-            elder.hear(self.control.here)
-        self.control.elder = elder
+            predecessor.share = functools.partial(self._share, predecessor)
+            predecessor.hear(self.control.here)
+        self.control.predecessor = predecessor
         self.control.seat = upgrade.Seat(driver, self.clients, self.peers, self.control.here, self.stop)
         self.control.seat.listen(where)
         gc.collect()
@@ -171,10 +173,10 @@
         gauges = self.clients.gauges() | {"calls": len(self.driver.calls)} | self.driver.hosts.gauges()
         return gauges | (self.members.gauges() if self.members else {})
 
-    def _share(self, elder: upgrade.Elder, its_clients: int, its_hosts: int) -> None:
+    def _share(self, predecessor: upgrade.Predecessor, its_clients: int, its_hosts: int) -> None:
         """The process before this one still holds so many descriptors of the limit of both."""
         self.clients.most = max(1, self.client_sockets - its_clients)
-        both = UPGRADE_DESCRIPTORS if elder.channel else 0
+        both = UPGRADE_DESCRIPTORS if predecessor.channel else 0
         self.driver.hosts.most = max(1, self.host_sockets - its_hosts - both)
 
     def reload(self) -> None:
--- a/saffrongw/requests.py
+++ b/saffrongw/requests.py
@@ -7,8 +7,8 @@
 
 from orchidlane.interface import Effect
 
+from .calls import Terms
 from .config import Config
-from .driver import Terms
 
 BODY_INDEX = 4  # of the body among the values of a command
 CUSTOMER_BITS = 33
--- a/saffrongw/stats.py
+++ b/saffrongw/stats.py
@@ -13,7 +13,7 @@
 
 log = logs.get(__name__)
 
-EVERY = 5.0  # seconds between two events
+REPORT_INTERVAL = 5.0  # seconds between two events
 
 
 class Stats(Counter[str]):
@@ -31,7 +31,7 @@
     def start(self, loop: asyncio.AbstractEventLoop, gauges: Callable[[], dict[str, int]]) -> None:
         """Write an event every so often from now on."""
         self.gauges = gauges
-        loop.call_later(EVERY, self._write, loop, time.process_time())
+        loop.call_later(REPORT_INTERVAL, self._write, loop, time.process_time())
 
     def _write(self, loop: asyncio.AbstractEventLoop, cpu_before: float) -> None:
         cpu = time.process_time()
@@ -39,7 +39,7 @@
         log.info("stats", **{logs.ALWAYS: True}, **fields, **dict(sorted(self.items())))
         self.told.update(self)
         self.clear()
-        loop.call_later(EVERY, self._write, loop, cpu)
+        loop.call_later(REPORT_INTERVAL, self._write, loop, cpu)
 
 
 def rss_kb() -> int:
--- a/saffrongw/upgrade.py
+++ b/saffrongw/upgrade.py
@@ -1,9 +1,9 @@
 """An upgrade: the process that serves hands over to the next one, through a Unix socket in ``$TMPDIR``.
 
-The elder one serves the socket (``Seat``); the next one, started with the same addresses, calls there
-(``find``) and takes over (``Elder``). Between the state and the word *serving* nobody decides, so that the
-counts have one owner at any time. After it the elder one relays what it is still asked, tells what becomes of
-its attempts, and ends. Whatever goes wrong before the word leaves the elder one serving; the next one then
+The predecessor serves the socket (``Seat``); the next one, started with the same addresses, calls there
+(``find``) and takes over (``Predecessor``). Between the state and the word *serving* nobody decides, so that
+the counts have one owner at any time. After it the predecessor relays what it is still asked, tells what
+becomes of its attempts, and ends. Whatever goes wrong before the word leaves it serving; the next one then
 starts alone.
 """
 
@@ -23,22 +23,23 @@
 from orchidlane import handover
 from orchidlane import interface as api
 
+from .calls import Call, Terms
 from .clients import Clients
 from .config import Address, Config, HostEntry, HostList
-from .driver import FAILED_REPLY, REPLY_MARGIN, Call, Driver, Terms
+from .driver import FAILED_REPLY, REPLY_MARGIN, Driver
 from .peers import Peers
 
 log = logs.get(__name__)
 
 VERSION = 1
-LINE_MOST = 2 * 1024 * 1024  # bytes of a message: a request's largest body, or some rows
-ROWS = 200  # accounts in a message: the loop goes on between two of them
-CALLED_WITHIN = 1.0  # seconds for the first answer: who hangs is not waited for
-TAKEN_WITHIN = 6.0  # seconds from the first call to the wish for the state: a process starts meanwhile
-FROZEN_MOST = 1.5  # seconds that all decisions may wait for the next process
-LIST_WITHIN = 1.0  # seconds that the next process waits for discovery before it takes the elder's list
-LOOK_EVERY = 0.1  # seconds between two looks at what the elder still holds
-ASKED_WITHIN = 0.5  # seconds for the other process to carry out an operator's call
+MESSAGE_BYTES_MAX = 2 * 1024 * 1024  # bytes of a message: a request's largest body, or some rows
+ACCOUNTS_PER_MESSAGE = 200  # accounts in a message: the loop goes on between two of them
+CONNECT_TIMEOUT = 1.0  # seconds for the first answer: who hangs is not waited for
+STATE_REQUEST_TIMEOUT = 6.0  # seconds from the first call to that for the state: a process starts meanwhile
+FREEZE_TIMEOUT = 1.5  # seconds that all decisions may wait for the next process
+DISCOVERY_TIMEOUT = 1.0  # seconds for discovery's list, before the predecessor's is taken
+POLL_INTERVAL = 0.1  # seconds between two looks at what the predecessor still holds
+CONTROL_CALL_TIMEOUT = 0.5  # seconds for the other process to carry out an operator's call
 
 CarryOut = Callable[[bytes], Awaitable[str]]  # an operator's call, to the line that answers it
 
@@ -72,7 +73,7 @@
     async def over(cls, sock: socket.socket) -> Channel:
         """A connected socket's."""
         sock.setblocking(False)
-        return cls(*await asyncio.open_unix_connection(sock=sock, limit=LINE_MOST))
+        return cls(*await asyncio.open_unix_connection(sock=sock, limit=MESSAGE_BYTES_MAX))
 
     def send(self, **message: Any) -> None:
         """Write one message."""
@@ -91,11 +92,11 @@
     raise ValueError(f"{text} is no number")
 
 
-# -- the elder process -----------------------------------------------------------------------------------
+# -- the predecessor -----------------------------------------------------------------------------------
 
 
 class Seat:
-    """The elder's side: waits for the next process, hands over to it once, and finishes what is left."""
+    """The predecessor's side: waits for the next process, hands over to it once, finishes what is left."""
 
     def __init__(
         self, driver: Driver, clients: Clients, peers: Peers | None, carry_out: CarryOut, stop: asyncio.Event
@@ -144,7 +145,7 @@
     async def _hand_over(self, sock: socket.socket) -> None:
         channel = await Channel.over(sock)
         try:
-            async with asyncio.timeout(CALLED_WITHIN):
+            async with asyncio.timeout(CONNECT_TIMEOUT):
                 called = await channel.receive()
             if called.get("version") != VERSION or called.get("listen") != list(self.clients.config.listen):
                 raise ValueError(f"called by another version or gateway: {called}")
@@ -152,7 +153,7 @@
             if self.peers:
                 descriptors.append(self.peers.fileno())
             socket.send_fds(sock, [b"\0"], descriptors)
-            async with asyncio.timeout(TAKEN_WITHIN):
+            async with asyncio.timeout(STATE_REQUEST_TIMEOUT):
                 if not (await channel.receive()).get("take"):
                     raise ValueError("the state is not asked for")
             await self._serve_on_unless(channel, sock)
@@ -166,7 +167,7 @@
         taken = False
         held = self.peers.leave() if self.peers else None
         try:
-            async with asyncio.timeout(FROZEN_MOST):
+            async with asyncio.timeout(FREEZE_TIMEOUT):
                 await self._tell_state(channel)
                 taken = (await channel.receive()).get("serving") is True
         except TimeoutError:
@@ -188,14 +189,14 @@
         lines = [_line(host.entry, pools[server].address) for server, host in gateway.hosts.items()]
         channel.send(state=handover.head(gateway), hosts=lines, clock=self.driver.clock.base)
         rows = handover.accounts(gateway)
-        while some := list(islice(rows, ROWS)):
+        while some := list(islice(rows, ACCOUNTS_PER_MESSAGE)):
             channel.send(rows=some)
             await channel.writer.drain()
         for event in handover.out(gateway):
             channel.send(began=_began(event))
         channel.send(end=True)
 
-    # -- what is left to do, as the driver's heir
+    # -- what is left to do, as the driver's successor
 
     def _finish(self) -> None:
         log.info("handover_done", requests_left=len(self.driver.calls))
@@ -210,7 +211,7 @@
                 client.close_if_idle()
             held = len(self.clients.open) + len(self.clients.shut)
             self.channel.send(sockets=[held, self.driver.hosts.sockets])
-            await asyncio.sleep(LOOK_EVERY)
+            await asyncio.sleep(POLL_INTERVAL)
         log.info("handover_finished")
         self.channel.writer.close()
         with contextlib.suppress(OSError):
@@ -270,7 +271,7 @@
     asked[number] = asyncio.get_running_loop().create_future()
     channel.send(call=number, line=line.decode("latin-1"))
     try:
-        async with asyncio.timeout(ASKED_WITHIN):
+        async with asyncio.timeout(CONTROL_CALL_TIMEOUT):
             return await asked[number]
     except TimeoutError:
         return "error the other process does not answer"
@@ -300,12 +301,12 @@
 # -- the next process ------------------------------------------------------------------------------------
 
 
-def find(where: Path | None, config: Config) -> Elder | None:
+def find(where: Path | None, config: Config) -> Predecessor | None:
     """The process that serves these addresses, if there is one that answers; called before all else."""
     if where is None or not where.exists():
         return None
     sock = socket.socket(socket.AF_UNIX)
-    sock.settimeout(CALLED_WITHIN)
+    sock.settimeout(CONNECT_TIMEOUT)
     try:
         folder = os.open(where.parent, os.O_PATH)
         try:
@@ -316,15 +317,15 @@
         word, descriptors, _, _ = socket.recv_fds(sock, 1, 2)
         if word != b"\0" or not descriptors:
             raise EOFError("it hands nothing over")
-        return Elder(sock, [socket.socket(fileno=number) for number in descriptors], config)
+        return Predecessor(sock, [socket.socket(fileno=number) for number in descriptors], config)
     except (OSError, EOFError) as wrong:
         log.warning("takeover_refused", error=wrong)
         sock.close()
         return None
 
 
-class Elder:
-    """The next process's side: what the elder one gave, and what it still tells."""
+class Predecessor:
+    """The next process's side: what the predecessor gave, and what it still tells."""
 
     def __init__(self, sock: socket.socket, given: list[socket.socket], config: Config) -> None:
         self.sock, self.config = sock, config
@@ -349,10 +350,10 @@
         try:
             self.channel = await Channel.over(self.sock)
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(LIST_WITHIN):
+                async with asyncio.timeout(DISCOVERY_TIMEOUT):
                     await told.wait()
             self.channel.send(take=True)
-            async with asyncio.timeout(FROZEN_MOST):
+            async with asyncio.timeout(FREEZE_TIMEOUT):
                 state, rows, out = await self._state()
             hosts = tuple(map(_host, state["hosts"]))
             remembered, base = handover.read(driver.gateway, state["state"], rows), int(state["clock"])
@@ -383,7 +384,7 @@
         return state, rows, out
 
     def hear(self, carry_out: CarryOut) -> None:
-        """From now on the elder one is heard, until it ends."""
+        """From now on the predecessor is heard, until it ends."""
         self.carry_out = carry_out
         self.share(self.config.sockets // 6, self.config.sockets // 3)
         self.tasks.append(self.driver.loop.create_task(self._hear()))
@@ -454,5 +455,5 @@
         self.relayed.clear()
 
     async def ask(self, line: bytes) -> str:
-        """Have the elder one carry out an operator's call, too; what it said, and done where it has ended."""
+        """Have the predecessor carry out an operator's call, too; what it said, done where it has ended."""
         return await ask(self.channel, self.asked, line) if self.channel else "done"
--- a/saffrongw/uploads.py
+++ b/saffrongw/uploads.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from .driver import Terms
+from .calls import Terms
 from .resp import LARGE_VALUE_BYTES_MAX, Large
 
 if TYPE_CHECKING:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -11,7 +11,7 @@
 
 from saffrongw import drain as drain_module
 from saffrongw import listening
-from saffrongw.control import CALLERS_MOST, LINE_MOST, Control
+from saffrongw.control import CONNECTIONS_MAX, LINE_BYTES_MAX, Control
 from saffrongw.drain import DRAIN_NOTICE_DELAY, DRAIN_REFUSE_DELAY
 
 
@@ -55,7 +55,7 @@
 @pytest.mark.parametrize(
     "line",
     (
-        *(b"", b" ", b"health", b"HEALTH now", b"LEAVE 1", b"STOP", b"\xff\x00", b"x" * LINE_MOST * 2),
+        *(b"", b" ", b"health", b"HEALTH now", b"LEAVE 1", b"STOP", b"\xff\x00", b"x" * LINE_BYTES_MAX * 2),
         *(b"OFFLINE", b"OFFLINE ", b"OFFLINE a a", b"ONLINE never", b"OFFLINE \xff", b"OFFLINE  a"),
     ),
 )
@@ -83,7 +83,7 @@
 async def test_who_has_been_answered_and_closes_takes_no_place():
     rig = Rig(await FakeHost("a").listen())
     control = await controlled(rig)
-    for _ in range(3 * CALLERS_MOST):
+    for _ in range(3 * CONNECTIONS_MAX):
         assert (await call(control, b"HEALTH")).startswith("done")
         await until(lambda: not control.callers)
     reader, writer = await connect(control)
@@ -99,12 +99,12 @@
     rig = Rig(await FakeHost("a").listen())
     control = await controlled(rig)
     silent = []
-    for _ in range(3 * CALLERS_MOST):
+    for _ in range(3 * CONNECTIONS_MAX):
         silent.append(await connect(control))
         silent[-1][1].write(b"HEAL")
     assert (await call(control, b"HEALTH")).startswith("done")
-    assert len(control.callers) <= CALLERS_MOST
-    assert rig.driver.stats["control_evicted"] >= 2 * CALLERS_MOST
+    assert len(control.callers) <= CONNECTIONS_MAX
+    assert rig.driver.stats["control_evicted"] >= 2 * CONNECTIONS_MAX
     silent[-1][1].write(b"TH\n")  # one of the latest has its place still
     assert await asyncio.wait_for(silent[-1][0].read(), 5) == b"done ready\n"
     for _, writer in silent:
--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -18,9 +18,10 @@
 from conftest import SITE, FakeHost
 
 from saffrongw import config
+from saffrongw.calls import Attempt, Call
 from saffrongw.client import Client
 from saffrongw.clients import Clients
-from saffrongw.driver import Attempt, Call, Driver
+from saffrongw.driver import Driver
 from saffrongw.hosts import Connection, Hosts, Stage
 
 EVENTS = 400
--- a/tests/test_stats.py
+++ b/tests/test_stats.py
@@ -32,7 +32,7 @@
 
 
 def test_an_event_holds_gauges_and_what_was_counted_since_the_one_before(monkeypatch):
-    monkeypatch.setattr(stats, "EVERY", 0.01)
+    monkeypatch.setattr(stats, "REPORT_INTERVAL", 0.01)
 
     @asyncio_test
     async def write() -> list[dict]:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -236,12 +236,12 @@
     """It waits for the process before it, which has taken the call and never answers."""
     host = await FakeHost("a").listen()
     async with Service(tmp_path, host) as service:
-        with socket.socket(socket.AF_UNIX) as elder:
-            elder.bind(str(path(service)))
-            elder.listen()
-            elder.settimeout(20)
+        with socket.socket(socket.AF_UNIX) as predecessor:
+            predecessor.bind(str(path(service)))
+            predecessor.listen()
+            predecessor.settimeout(20)
             process = await service.start(ready=False)
-            called, _ = await asyncio.to_thread(elder.accept)
+            called, _ = await asyncio.to_thread(predecessor.accept)
             process.send_signal(signal.SIGTERM)
             assert await asyncio.wait_for(process.wait(), 10) == 0
             called.close()
@@ -340,7 +340,7 @@
             seat.listen()
             seat.settimeout(20)
 
-            def elder() -> None:
+            def predecessor() -> None:
                 with seat.accept()[0] as sock:
                     sock.settimeout(5)
                     receive(sock, b"\n")
@@ -348,7 +348,7 @@
                     receive(sock, b"take")
                     sock.sendall(state)
 
-            thread = asyncio.create_task(asyncio.to_thread(elder))
+            thread = asyncio.create_task(asyncio.to_thread(predecessor))
             async with asyncio.timeout(10):
                 await service.start()
             await thread
