A request waits for its keeper's word no longer than its own time allows

Line at fault: `_ask_keeper`, which set its timer to 100 ms whatever the request had; the one timer that the gateway keeps for each request failed it at its deadline, in time, but as failed and not as refused, after all of its time.

Now the timer is the earlier of 100 ms and the request's last call, as in the other waits; then it is refused. Ruled out: attempts out at the deadline (they are told first and then answered), requests without a host (their timer was cut so already). The test fails without it for requests of 40 to 90 ms.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -100,7 +100,7 @@
             return self._end(request)
         first = not request.attempts
         if first and (cause := self._refusal(request)):
-            held = cause is Cause.CEILING and self._ask_keeper(request, 1)  # only the first one gives rights
+            held = cause is Cause.CEILING and self._ask_keeper(request, 1, last_call)  # it gives rights
             return None if held else self._end(request, cause)
         host = self._choose(request)
         if host is None:
@@ -114,11 +114,11 @@
             if host.out or self.now < self.next_try:
                 return self._end(request, Cause.SLOW)
             self.next_try = self.now + START_OF_AIM * request.cls.aim  # who sends nothing learns nothing
-        if first and self._is_wide(request.account) and self._ask_keeper(request, KEEPERS):
+        if first and self._is_wide(request.account) and self._ask_keeper(request, KEEPERS, last_call):
             return None
         return self._send(request, host)
 
-    def _ask_keeper(self, request: Request, most: int) -> bool:
+    def _ask_keeper(self, request: Request, most: int, last_call: int) -> bool:
         """Where only a keeper knows what is spent, or has rights to give, a request waits for its word, but
         shortly."""
         event, account = request.event, request.account
@@ -140,7 +140,7 @@
             del account.waiting[event.request]
             return False
         request.asked, request.asks = number, request.asks + 1
-        self.actions.append(api.SetTimer(ASK_WITHIN, event.request + 1))
+        self.actions.append(api.SetTimer(min(ASK_WITHIN, last_call - self.now), event.request + 1))
         return True
 
     def _refusal(self, request: Request) -> Cause | None:
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -15,6 +15,7 @@
 from orchidlane import interface as api
 from orchidlane import messages
 from orchidlane.messages import Row
+from orchidlane.rules import LEAVE
 
 MS = T0 // 1_000
 TICK = MS // messages.TICK
@@ -377,6 +378,19 @@
     assert of(bench.run(15_000), api.Send)
 
 
+@pytest.mark.parametrize("plan", [0, 2])  # a wide set's quota, a ceiling's rights
+@pytest.mark.parametrize("left", [40, 60, 90, 150, 250])
+def test_a_request_that_waits_for_its_keeper_is_answered_within_its_own_time(left, plan):
+    """Its time was up before the wait of 100 ms was over: nobody refused it, and it failed at its end."""
+    bench, waited = Bench(gateways=60), 0
+    for request in range(1, 9):
+        actions = bench.ask(request, customer=request, plan=plan, units=3.0, left=left * 1_000, size=50)
+        waited += not of(actions, api.Send | api.Refuse)
+        answers = actions + bench.run(left * 1_000 - LEAVE)
+        assert [a.request for a in of(answers, api.Send | api.Refuse)] == [request]
+    assert waited
+
+
 def test_only_its_keepers_word_lets_a_waiting_request_go():
     bench = Bench(gateways=60)
     (question,) = of(bench.ask(1, size=50), api.TellPeer)
