A keeper's word that comes late sends no second attempt of a request

Line at fault: `_answered`, for a request that had asked its keeper twice in vain and gone on without stayed in `account.waiting`; the word that came late advanced it, and sent it again beside its first attempt. Classes unsafe to repeat were held back by their own rule; all others had two attempts out, also where second copies are not allowed.

Now the first send takes the request off that list, whose units the keeper is asked for. The test fails without it in the four classes that may be repeated.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -227,6 +227,7 @@
     def _send(self, request: Request, host: Host) -> None:
         """Every send passes here."""
         if not request.attempts:
+            request.account.waiting.pop(request.event.request, None)  # a late word sends no second one
             self._spend(request)
         if not host.out:
             host.kept = host.kept if self.now - host.active < KEPT_FOR else 0
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -378,6 +378,18 @@
     assert of(bench.run(15_000), api.Send)
 
 
+@pytest.mark.parametrize("kind", range(5))
+def test_a_keepers_word_that_comes_late_sends_no_second_attempt(kind):
+    """The request had gone on without it by then, and went out once more beside its first attempt."""
+    bench = Bench(gateways=60)
+    (question,) = of(bench.ask(1, kind=kind, size=50), api.TellPeer)
+    sends = of(bench.run(300_000), api.Send)
+    assert len(sends) == 1
+    assert of(say(bench, question.peer, told([], size=50)), api.Send) == []
+    assert of(bench.run(300_000), api.Send) == []
+    assert bench.gateway.accounts[7].waiting == {}
+
+
 @pytest.mark.parametrize("plan", [0, 2])  # a wide set's quota, a ceiling's rights
 @pytest.mark.parametrize("left", [40, 60, 90, 150, 250])
 def test_a_request_that_waits_for_its_keeper_is_answered_within_its_own_time(left, plan):
