Right before an attempt is written it is asked whether its request has its answer by now

Line: `Driver.is_wanted`. The test (one attempt waits for a slow connection, another is served) fails without it.

--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -147,10 +147,12 @@
                 self._withdraw(attempt)
 
     def is_wanted(self, attempt: Attempt) -> bool:
-        """Asked right before an attempt is written: for a client that has closed nothing begins any more,
-        though the loop, where it is behind, has still to come to see it."""
+        """Asked right before an attempt is written: after the final answer nothing begins any more, nor for a
+        client that has closed, though the loop, where it is behind, has still to come to see it."""
         call = attempt.call
-        if not call.finished and call.sink and call.sink.has_left():
+        if call.finished:
+            self._withdraw(attempt)  # another attempt was served while this one waited for its connection
+        elif call.sink and call.sink.has_left():
             self.client_gone(call)  # which ends the attempt
         return not attempt.ended
 
--- a/tests/test_host_links.py
+++ b/tests/test_host_links.py
@@ -119,6 +119,26 @@
     assert await caller.replied(2) == [b"fresh", b"fresh"]
 
 
+@asyncio_test
+async def test_nothing_begins_after_the_final_answer():
+    """One attempt waits for its connection while another of the same request is served."""
+    slow, quick = [await FakeHost(name).listen() for name in "ab"]
+    rig = Rig(slow, quick, permissions=SITE["permissions"] | {"cancel": False, "connectTimeout": 5_000_000})
+    gate, caller = Gate(rig, slow.port), await rig.caller()
+    rig.driver.gateway._choose = lambda request: rig.driver.gateway.hosts[b"a"]
+    caller.call()
+    await until(lambda: rig.hosts.pools[b"a"].waiting)
+    (number,) = rig.driver.calls
+    rig.driver._carry_out([api.Send(number, b"b", 0, 0)])
+    assert await caller.replied() == [b"ok"]
+    gate.open()
+    await until(lambda: slow.connections and not rig.hosts.pools[b"a"].opening)
+    assert rig.driver.stats["attempt_not_connected"] == 1
+    caller.call(number=b"id2")  # whatever was to come before it has come
+    await caller.replied(2)
+    assert [command[2] for command in slow.commands] == [b"id2"]
+
+
 @asyncio_test
 async def test_what_waits_takes_a_connection_that_has_cooled_down_and_only_the_rest_opens_others():
     """A new one for each request that came within the cooldown cost a host a handshake, and a fifth more."""
