Log each applied host list, start and end of serving, and at debug level each request and close

Now at info: serving, host_list_applied (kind, version, hosts taken out of use), discovery_closed, shutdown_begun and shutdown_finished. At debug: request_finished with each attempt's host, start, the list that it was decided on, whether it was sent and its outcome; connection_closed with its reason. BIRCHDRUM_LOG__LEVEL sets the level of saffrongw as it does for birchdrum gateway. Behaviour is unchanged; without debug nothing is added for a request but one comparison.

--- a/saffrongw/__main__.py
+++ b/saffrongw/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import os
 import sys
 from collections.abc import Callable
@@ -11,14 +12,19 @@
 
 from ops import logs
 
-from .config import Config, parse
+from .config import Config, checked_choice, parse
 from .listeners import StartupError
 from .process import CONFIG_ERRORS, serve
 
+LOG_LEVEL_VARIABLE = "BIRCHDRUM_LOG__LEVEL"  # overrides the configured level
+
 
 def read_config() -> Config:
     """Read and parse the file that LB_CONFIG names; raise one of CONFIG_ERRORS if it is unusable."""
-    return parse(Path(os.environ["LB_CONFIG"]).read_text())
+    config = parse(Path(os.environ["LB_CONFIG"]).read_text())
+    if level := os.environ.get(LOG_LEVEL_VARIABLE):
+        config = dataclasses.replace(config, log_level=checked_choice(logs.LEVELS, level))
+    return config
 
 
 def main(read: Callable[[], Config] = read_config) -> int:
--- a/saffrongw/calls.py
+++ b/saffrongw/calls.py
@@ -89,7 +89,13 @@
     sent_at: int
     expires_at: int
     send_by: int = 0  # clock time after which it must not be sent any more; 0: no limit
+    list_version: int = 0  # of the host list that was held when it was decided on
     timer: asyncio.TimerHandle | None = None
     carrier: object = None  # the Connection it was sent on, or the Pool in which it waits for one
     fully_sent: bool = False  # the last byte has left the process: from then on the host may execute it
-    ended: bool = False
+    outcome: api.Outcome | None = None  # None: it has not ended
+
+    @property
+    def ended(self) -> bool:
+        """Whether its outcome is known."""
+        return self.outcome is not None
--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -14,6 +14,7 @@
 import hiredis
 
 from .calls import Body, Terms
+from .request_log import CloseReason
 from .requests import BODY_INDEX, MalformedRequest, parse
 from .resp import PLACEHOLDER, VALUE_BYTES_MAX, LargeValue, Reader
 from .response_slots import Slot
@@ -64,6 +65,7 @@
         self.reading_paused = False
         self.last_seen = self.waiting_since  # when the client was last known to be connected, while paused
         self.transport: asyncio.Transport | None = None
+        self.close_reason: CloseReason | None = None  # the first one, once this side has begun to close
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Set up an accepted connection."""
@@ -74,8 +76,13 @@
         excess = self.clients.connection_opened(self)
         self.is_surplus = excess > 0
         if excess > SURPLUS_CONNECTIONS_MAX:  # keeps descriptors free for hosts and discovery
+            self._note_close(CloseReason.CROWDED)
             transport.abort()
 
+    def _note_close(self, reason: CloseReason) -> None:
+        """Keep the first reason, for the log."""
+        self.close_reason = self.close_reason or reason
+
     def pause_writing(self) -> None:
         """Apply backpressure: a client that does not read its responses is not read from either.
 
@@ -188,6 +195,7 @@
             self.stalled_bytes, self.stalled_since = unsent, cutoff + COMMAND_TIMEOUT  # slow, but it reads
         if 0 < self.stalled_since < cutoff - (WRITE_STALL_TIMEOUT - COMMAND_TIMEOUT):
             self.clients.driver.stats["client_unread"] += 1
+            self._note_close(CloseReason.STALLED)
             self.transport.abort()  # close() would wait until the client has read everything
         if self.stage is Stage.HALF_CLOSED:
             return
@@ -201,6 +209,7 @@
         was_overdue, self.was_overdue = self.was_overdue, is_late and not self.slots
         if was_overdue and self.was_overdue:
             self.clients.driver.stats["client_overdue"] += 1
+            self._note_close(CloseReason.OVERDUE)
             if self.reader.at_boundary:
                 self.half_close()  # without an error line, which would pass for the reply to a request
             elif self.upload and not self.upload.has_memory:
@@ -210,6 +219,7 @@
                 self._end_with_error("no whole command in time")
 
     def _end_with_error(self, reason: str) -> None:
+        self._note_close(CloseReason.MALFORMED)
         self._end_with_reply(b"-ERR %b\r\n" % reason.encode(errors="replace"))
 
     def _end_with_reply(self, reply: bytes) -> None:
@@ -222,6 +232,7 @@
     def end_unfinished_command(self) -> None:
         """Close a connection without requests in flight, even within a command, which then does not run."""
         if self.stage is Stage.OPEN and not self.slots:
+            self._note_close(CloseReason.DRAIN)
             if self.reader.at_boundary and not self.upload:
                 self.half_close()
             else:
@@ -315,6 +326,7 @@
         # descriptor. BUSY says that the request was not executed; it may be retried after 1000 ms.
         if self.is_surplus and len(self.clients.open) > self.clients.max_connections:
             self.stage = Stage.ENDING
+            self._note_close(CloseReason.CROWDED)
             self.clients.driver.stats["refused_crowded"] += 1
             return self._reply(b"-BUSY 1000\r\n", body_bytes)
         if self.clients.drain.refusing_requests:
@@ -383,12 +395,16 @@
         if self.stage is Stage.ENDING or (
             self.clients.drain.closing_idle and not is_new and self._is_between_requests()
         ):
+            self._note_close(CloseReason.DRAIN)
             self.half_close()
 
     def connection_lost(self, error: Exception | None) -> None:
         """End the requests that the client of the closed connection was waiting for."""
         self.clients.open.pop(self, None)
         self.clients.half_closed.pop(self, None)
+        if request_log := self.clients.driver.request_log:
+            address = self.transport.get_extra_info("peername")
+            request_log.connection_closed("client", address, self.close_reason or CloseReason.PEER)
         self._release_resources()
 
     def _release_resources(self) -> None:
--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -11,6 +11,7 @@
 from .config import Config
 from .drain import Drain
 from .driver import Driver
+from .request_log import CloseReason
 from .uploads import UPLOAD_MEMORY_SHARE, UploadMemory
 
 # Length of the accept queue. A client that overflows it may believe it is connected and wait for ever.
@@ -65,6 +66,7 @@
             idle = next((client for client in self.open if client.is_idle()), None)
             if idle:
                 self.driver.stats["client_evicted"] += 1
+                idle.close_reason = CloseReason.IDLE
                 idle.half_close()
         self.open[client] = None
         # Half-closed connections still hold descriptors.
--- a/saffrongw/config.py
+++ b/saffrongw/config.py
@@ -94,7 +94,8 @@
     return HostList(int(raw["seq"]), bool(raw["whole"]), tuple(hosts), malformed)
 
 
-def _checked_choice(choices: Collection[str], value: str) -> str:
+def checked_choice(choices: Collection[str], value: str) -> str:
+    """Return the value; raise ValueError if it is none of the choices."""
     if value not in choices:
         raise ValueError(f"{value!r} is not one of {', '.join(choices)}")
     return value
@@ -118,8 +119,8 @@
         memory=int(float(raw["limits"].get("memory_mb", DEFAULT_MEMORY_MB)) * 1024 * 1024),
         control=address(raw["control"]) if raw.get("control") else None,
         metrics=address(raw["metrics"]) if raw.get("metrics") else None,
-        log_form=_checked_choice(logs.FORMATS, log_settings.get("form", "text")),
-        log_level=_checked_choice(logs.LEVELS, log_settings.get("level", "info")),
+        log_form=checked_choice(logs.FORMATS, log_settings.get("form", "text")),
+        log_level=checked_choice(logs.LEVELS, log_settings.get("level", "info")),
         peer_listen=address(raw["peer_listen"]) if has_peers and raw.get("peer_listen") else None,
         peers=tuple(address(peer) for peer in peers),
         cluster=str(raw["cluster"]) if raw.get("cluster") and has_peers else None,
--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -323,6 +323,7 @@
     def connection_closed(self, connection: DiscoveryConnection) -> None:
         """Reconnect after the backoff, as the connection was closed."""
         if connection is self.connection:
+            log.info("discovery_closed", address=self.address, version=self.version)
             self._reconnect_later()
 
     def _response_timed_out(self) -> None:
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -19,6 +19,7 @@
 from .clock import Clock
 from .config import HostList
 from .readiness import Readiness
+from .request_log import RequestLog
 from .stats import Stats
 
 log = logs.get_logger(__name__)
@@ -31,6 +32,22 @@
 CLIENT_GONE_TOLERANCE = 300 * MS
 
 
+def _log_host_list(kind: api.ListKind, host_list: HostList) -> None:
+    """Record a list that is applied, and which hosts it takes out of use."""
+
+    def names(phase: api.Phase) -> list[str]:
+        return [host.entry.server.decode() for host in host_list.hosts if host.entry.phase is phase]
+
+    log.info(
+        "host_list_applied",
+        kind=kind.name.lower(),
+        version=host_list.version,
+        hosts=len(host_list.hosts),
+        draining=names(api.Phase.DRAINING),
+        gone=names(api.Phase.GONE),
+    )
+
+
 class Hosts(Protocol):
     """The driver's view of ``hosts.Hosts``."""
 
@@ -90,6 +107,8 @@
         self.frozen = False  # the state is being handed over: events are queued
         self.successor: Successor | None = None  # the process that has taken over the state
         self.observer: Observer | None = None  # receives measurements; None: metrics are off
+        self.request_log: RequestLog | None = None  # None: the log level is above debug
+        self.list_version = 0  # of the host list that is held
         # Runs before each event to detect a pause of this process; may return an event to be handled first.
         self.pre_event_hook: Callable[[], api.MembersChanged | None] | None = None
 
@@ -179,7 +198,7 @@
         """Record an attempt's outcome; if it is the first one served, answer before notifying the module."""
         if attempt.ended:
             return
-        attempt.ended = True
+        attempt.outcome = outcome
         self.stats["attempt_" + outcome.value.replace(" ", "_")] += 1
         if attempt.timer:
             attempt.timer.cancel()
@@ -226,6 +245,8 @@
         kind = api.ListKind.WHOLE if host_list.whole else api.ListKind.CHANGES
         if cached:
             kind = api.ListKind.CACHED
+        self.list_version = host_list.version
+        _log_host_list(kind, host_list)
         unsent = self.hosts.apply_host_list(host_list)
         self.readiness.has_hosts |= any(host.entry.phase is not api.Phase.GONE for host in host_list.hosts)
         self.feed(api.ServerListed(kind, host_list.version, tuple(host.entry for host in host_list.hosts)))
@@ -340,7 +361,9 @@
             return
         now = self.clock()
         expires_at = min(action.deadline or call.deadline, call.deadline)
-        attempt = Attempt(call, len(call.attempts), action.server, now, expires_at, action.send_by)
+        attempt = Attempt(
+            call, len(call.attempts), action.server, now, expires_at, action.send_by, self.list_version
+        )
         call.attempts.append(attempt)
         if action.send_by:
             self._call_at(action.send_by, self._withdraw, attempt)
@@ -365,7 +388,7 @@
     def _refuse(self, action: api.Refuse) -> None:
         if call := self.calls.get(action.request):
             self.stats["refused_" + action.cause.value] += 1
-            self._observe(call, "refused")
+            self._observe(call, "refused", cause=action.cause)
             retry_after = -(-action.retry_after // MS)  # rounded up: an earlier retry would be refused again
             self._finish(call, b"-BUSY %d\r\n" % retry_after if retry_after else b"-BUSY\r\n")
 
@@ -405,10 +428,16 @@
             self._mark_finished(call)
             call.answer(reply)
 
-    def _observe(self, call: Call, outcome: str, server: api.Server = b"") -> None:
+    def _observe(
+        self, call: Call, outcome: str, server: api.Server = b"", cause: api.Cause | None = None
+    ) -> None:
+        if not (self.observer or self.request_log):
+            return
+        now, arrived_at = self.clock(), call.deadline - call.event.time_left
         if self.observer:
-            duration = self.clock() - call.deadline + call.event.time_left
-            self.observer.request_finished(call.event.kind, outcome, server, duration)
+            self.observer.request_finished(call.event.kind, outcome, server, now - arrived_at)
+        if self.request_log:
+            self.request_log.request_finished(call, outcome, cause, arrived_at, now)
 
     def _mark_finished(self, call: Call) -> None:
         call.finished = True
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -19,6 +19,7 @@
 from .calls import Attempt, Sink
 from .config import Address, HostList
 from .driver import Driver
+from .request_log import CloseReason
 from .resp import CRLF, VALUE_BYTES_MAX, LargeValue, Reader
 
 REPLY_BYTES_MAX = 2 * VALUE_BYTES_MAX  # of a response without a large value: metadata and a load report
@@ -139,7 +140,7 @@
         hosts.driver.stats["host_bytes_in"] += len(data)
         if self.stage is Stage.IDLE:
             hosts.driver.stats["host_unasked"] += 1
-            self.close()  # for example a late duplicate response
+            self.close(CloseReason.UNREQUESTED)  # for example a late duplicate response
             return
         self.received += len(data)
         try:
@@ -170,7 +171,7 @@
             self.sink = None
             sink.end()
         if malformed or is_early:  # requests and responses can no longer be matched
-            self.close()
+            self.close(CloseReason.MALFORMED)
         else:
             self.attempt = None
             hosts.streams.pop(self, None)
@@ -211,7 +212,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Report the outcome of the attempt in flight after the host or the network closed the connection."""
         attempt = self.attempt
-        self.close()
+        self.close(CloseReason.PEER)
         if attempt:
             # The host may have executed the request before the reset, unless its last byte was never sent.
             outcome = api.Outcome.BROKEN if attempt.fully_sent else api.Outcome.NOT_CONNECTED
@@ -219,9 +220,9 @@
 
     def abort(self) -> None:
         """Close, as nobody wants the rest of a streamed response."""
-        self.close()
+        self.close(CloseReason.ABANDONED)
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close in any stage; the caller reports the outcome of the attempt in flight, if there is one."""
         if self.stage is Stage.CLOSED:
             return
@@ -230,6 +231,8 @@
         self.pool.opening -= self.stage is Stage.OPENING
         self.stage, self.attempt = Stage.CLOSED, None
         self.pool.hosts.connection_count -= 1
+        if request_log := self.pool.hosts.driver.request_log:
+            request_log.connection_closed("host", self.pool.address, reason)
         self.timer.cancel()
         if self.transport:
             self.transport.abort()
@@ -296,13 +299,13 @@
                 connection.stage = Stage.BUSY
                 return connection
             self.hosts.driver.stats["host_stale"] += 1
-            connection.close()
+            connection.close(CloseReason.PEER)
         return None
 
     def connect_failed(self, connection: Connection) -> None:
         """Fail the attempt queued longest, which has not run, as a connection could not be established."""
         if connection.stage is Stage.OPENING:
-            connection.close()
+            connection.close(CloseReason.CONNECT_FAILED)
             if self.waiting:
                 self.hosts.driver.attempt_ended(self.waiting.popleft(), api.Outcome.NOT_CONNECTED)
 
@@ -320,7 +323,7 @@
         connection.stage, connection.idle_since = Stage.IDLE, self.hosts.loop.time()
         self.idle.append(connection)
         if self.retired:
-            connection.close()
+            connection.close(CloseReason.HOST_RETIRED)
         else:
             self._schedule_dispatch()
 
@@ -334,10 +337,10 @@
                 return attempt
         return None
 
-    def close_idle(self, cutoff: float) -> None:
+    def close_idle(self, cutoff: float, reason: CloseReason = CloseReason.IDLE) -> None:
         """Close connections that have been idle since ``cutoff`` or longer."""
         while self.idle and self.idle[0].idle_since <= cutoff:
-            self.idle[0].close()
+            self.idle[0].close(reason)
 
     def take_waiting(self) -> list[Attempt]:
         """Remove and return the queued attempts, none of which has been sent."""
@@ -347,7 +350,7 @@
     def retire(self) -> list[Attempt]:
         """Stop using this pool: attempts in flight may finish, queued ones are returned."""
         self.retired = True
-        self.close_idle(float("inf"))
+        self.close_idle(float("inf"), CloseReason.HOST_RETIRED)
         return self.take_waiting()
 
 
@@ -398,7 +401,7 @@
         pool = self.pools.get(server)
         if pool is None:
             return []
-        pool.close_idle(float("inf"))
+        pool.close_idle(float("inf"), CloseReason.HOST_RETIRED)
         return pool.take_waiting()
 
     def send(self, attempt: Attempt) -> None:
@@ -411,7 +414,7 @@
     def abandon(self, attempt: Attempt) -> None:
         """Give up an attempt; closing its connection cancels it at the host."""
         if isinstance(attempt.carrier, Connection):
-            attempt.carrier.close()
+            attempt.carrier.close(CloseReason.ABANDONED)
         elif isinstance(attempt.carrier, Pool) and attempt in attempt.carrier.waiting:
             attempt.carrier.waiting.remove(attempt)
 
@@ -453,7 +456,7 @@
                 (p for p in self.pools.values() if p.idle), key=lambda p: p.idle[0].idle_since, default=None
             )
             if oldest:
-                oldest.idle[0].close()
+                oldest.idle[0].close(CloseReason.IDLE)
         return self.connection_count < self.max_connections
 
     def _close_idle_connections(self) -> None:
@@ -466,5 +469,5 @@
         """Close streamed responses that have stalled: no deadline applies to them once they have begun."""
         cutoff = self.loop.time() - STREAM_IDLE_TIMEOUT
         for connection in [c for c in self.streams if not c.paused and c.last_received_at < cutoff]:
-            connection.close()
+            connection.close(CloseReason.STALLED)
         self.loop.call_later(STREAM_IDLE_TIMEOUT / SWEEPS_PER_IDLE_TIMEOUT, self._close_stalled_streams)
--- a/saffrongw/process.py
+++ b/saffrongw/process.py
@@ -23,6 +23,8 @@
 from .driver import Driver
 from .hosts import Hosts
 from .peers import Peers
+from .request_log import LEVEL as REQUEST_LOG_LEVEL
+from .request_log import RequestLog
 
 if TYPE_CHECKING:
     from .members import Members
@@ -79,6 +81,7 @@
         self.watch: Watch | None = None
         self.members: Members | None = None
         self.bind_tasks: list[asyncio.Task[None]] = []  # retry addresses still in use
+        self._set_request_log()
 
     async def run(self) -> None:
         """Start, serve until stopped, and shut down; raise StartupError if the gateway cannot start."""
@@ -99,9 +102,11 @@
                 task.cancel()
         if self.members:
             self.members.leave()
+        log.info("shutdown_begun", calls=len(self.driver.calls), connections=len(self.clients.open))
         await self.clients.drain.shut_down(SHUTDOWN_ACCEPT_TIME)
         if self.metrics:
             await self.metrics.end()
+        log.info("shutdown_finished")
 
     def _start_watch(self, predecessor: upgrade.Predecessor | None) -> None:
         """Start watching discovery.
@@ -127,6 +132,10 @@
         else:
             self.watch.start_after_delay()
 
+    def _set_request_log(self) -> None:
+        """Log single requests if the log level includes that."""
+        self.driver.request_log = RequestLog() if self.config.log_level == REQUEST_LOG_LEVEL else None
+
     def _on_host_list(self, hosts: HostList) -> None:
         self.driver.apply_host_list(hosts)
         self.host_list_received.set()
@@ -174,6 +183,7 @@
         driver.stats.start(self.loop, self._gauges)
         listen = functools.partial(self.clients.listen, predecessor and predecessor.listener)
         await listeners.listen_now("clients", config.listen, listen)
+        log.info("serving", address=config.listen, list_version=driver.list_version)
         if taken_over:
             predecessor.on_connection_counts = functools.partial(self._update_descriptor_limits, predecessor)
             predecessor.start_receiving(self.control.execute_locally)
@@ -214,6 +224,7 @@
         log.info("config_read", in_force=applied, needs_restart=after_restart)
         if "log_form" in applied or "log_level" in applied:
             logs.configure(self.config.log_form, self.config.log_level)
+            self._set_request_log()
         self.watch.set_address(self.config.discovery)
 
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -30,9 +30,9 @@
     for package in PACKAGES:
         for file in (ROOT / package).glob("*.py"):
             text = file.read_text()
-            events |= set(re.findall(r"\blog\.(?:info|warning|error|exception)\(\s*\"(\w+)\"", text))
-            calls = len(re.findall(r"\blog\.(?:info|warning|error|exception)\(", text))
-            named = len(re.findall(r"\blog\.(?:info|warning|error|exception)\(\s*\"\w+\"", text))
+            events |= set(re.findall(r"\blog\.(?:debug|info|warning|error|exception)\(\s*\"(\w+)\"", text))
+            calls = len(re.findall(r"\blog\.(?:debug|info|warning|error|exception)\(", text))
+            named = len(re.findall(r"\blog\.(?:debug|info|warning|error|exception)\(\s*\"\w+\"", text))
             assert calls == named, f"{file.name}: a log call without a literal event name"
     return events | {"library_said"}
 
