Ask discovery for its list before clients are accepted at a start

Cause: Process.run applied the list in the configuration (known, as the killed process held it), opened the watch and listened for clients in the same turn of the event loop, and Readiness.has_hosts was true with that list alone. Until discovery's first answer was applied each request was decided on a list as old as the kill. Clients that do not know of the kill yet come as soon as the port is open, so the window of some 10 to 100 ms is met.

Change: clients are accepted once discovery has answered, or after 1 s if it does not, then from the configured list with a warning. Where lists are only sent on request the first request asks whether the list is still current (wait=1) instead of waiting 2 s for a change. An answer that its list is current counts too. SIGTERM ends the wait.

--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -26,6 +26,7 @@
 # answered within STALENESS_LIMIT.
 ATTEMPT_INTERVAL_MAX = STALENESS_LIMIT - 2.0
 CONNECT_TIMEOUT = 1.0
+SYNCHRONIZING_WAIT = 0.001  # of the long poll that only asks whether the configured list is still current
 LONG_POLL_WAIT = 2.0  # until it is over, a hung discovery agent can't be told from one without changes
 RESPONSE_TIMEOUT = 1.0  # added to the long-poll wait; after it the watch reconnects
 BACKOFF_MIN, BACKOFF_MAX = 0.05, 1.0  # before reconnecting, doubled with each failure
@@ -178,6 +179,7 @@
         # Latest loop time at which the next attempt starts: it can then still deliver a change that the
         # current attempt misses, within STALENESS_LIMIT.
         self.next_attempt_due = 0.0
+        self.synchronized = asyncio.Event()  # set once the list held is as recent as discovery's was
         self.connection: DiscoveryConnection | None = None
         self.last_connect_succeeded: bool | None = None  # None: no attempt yet
         self.timer: asyncio.TimerHandle | None = None
@@ -276,8 +278,9 @@
         """Request the changes since the current version by long poll, or the whole list if there is none."""
         target, timeout = PATH, self.response_timeout
         if self.version is not None:
-            target = f"{PATH}?index={self.version}&wait={int(self.long_poll_wait * 1000)}"
-            timeout += self.long_poll_wait
+            wait = self.long_poll_wait if self.synchronized.is_set() else SYNCHRONIZING_WAIT
+            target = f"{PATH}?index={self.version}&wait={int(wait * 1000)}"
+            timeout += wait
         if self.refused_interval:  # overloaded: the response may take until the next attempt is due
             timeout = max(timeout, self.next_attempt_due - BACKOFF_MIN - self.loop.time())
         self._set_timer(timeout, self._response_timed_out)
@@ -308,6 +311,8 @@
             log.warning("discovery_odd_entries", left_out=host_list.malformed, version=host_list.version)
         if host_list.whole or host_list.hosts:
             self.on_update(host_list)
+        if not version_decreased:
+            self.synchronized.set()
         if keep_alive:
             self._poll_again()
         else:
--- a/saffrongw/process.py
+++ b/saffrongw/process.py
@@ -17,7 +17,7 @@
 
 from . import listeners, upgrade
 from .clients import Clients
-from .config import Config, HostList
+from .config import Config
 from .control import Control
 from .discovery import Watch, first_request_spread
 from .driver import Driver
@@ -33,6 +33,7 @@
 SHUTDOWN_ACCEPT_TIME = 0.5  # seconds after SIGTERM in which new connections are still served
 RESERVED_DESCRIPTORS = 48  # for all but clients and hosts: event loop, watch, peers, logs, operators
 UPGRADE_DESCRIPTORS = 24  # reserved in addition while a predecessor finishes: both share one limit
+FIRST_LIST_TIMEOUT = 1.0  # seconds to wait for discovery's first answer, which its agent sends at once
 CLIENT_DESCRIPTOR_SHARE = 1 / 3  # of all descriptors: the limit for client connections
 
 # Raised while an unusable configuration is read or parsed.
@@ -61,7 +62,6 @@
         self.config, self.read = config, read
         self.loop = asyncio.get_running_loop()
         self.stop = asyncio.Event()
-        self.host_list_received = asyncio.Event()  # from discovery, at least once
         self.max_client_connections = int(CLIENT_DESCRIPTOR_SHARE * config.sockets)
         self.max_host_connections = max(
             1, config.sockets - RESERVED_DESCRIPTORS - self.max_client_connections
@@ -121,7 +121,7 @@
             self.loop,
             self.config.discovery,
             self.config.zones,
-            self._on_host_list,
+            self.driver.apply_host_list,
             random_fraction=random.Random(self.config.seed).random,
             version=None if predecessor else since,
             spread=first_request_spread(settings.gateways, settings.asks_for_list),
@@ -136,10 +136,6 @@
         """Log single requests if the log level includes that."""
         self.driver.request_log = RequestLog() if self.config.log_level == REQUEST_LOG_LEVEL else None
 
-    def _on_host_list(self, hosts: HostList) -> None:
-        self.driver.apply_host_list(hosts)
-        self.host_list_received.set()
-
     async def _listen_for_operators(self, retry_if_taken: bool) -> None:
         """Listen for operators' commands and for metrics scrapes, each if it is configured."""
         endpoints = []
@@ -167,7 +163,7 @@
         The predecessor's sockets are used even if the takeover of its state failed.
         """
         config, driver = self.config, self.driver
-        taken_over = predecessor is not None and await predecessor.take_over(driver, self.host_list_received)
+        taken_over = predecessor is not None and await predecessor.take_over(driver, self.watch.synchronized)
         if config.peer_listen and config.settings.may_tell_peers:
             # Without configured peers, membership provides their addresses.
             self.peers = Peers(driver, config.peers, config.settings.rank)
@@ -181,6 +177,8 @@
                 "peers", config.peer_listen, functools.partial(self.peers.listen, peer_endpoint)
             )
         driver.stats.start(self.loop, self._gauges)
+        if not taken_over:
+            await self._wait_for_host_list()
         listen = functools.partial(self.clients.listen, predecessor and predecessor.listener)
         await listeners.listen_now("clients", config.listen, listen)
         log.info("serving", address=config.listen, list_version=driver.list_version)
@@ -195,6 +193,19 @@
         gc.collect()
         gc.freeze()  # exempts all objects loaded so far from garbage collection: they live until the end
 
+    async def _wait_for_host_list(self) -> None:
+        """Wait for discovery's first list: hosts on the configured one may be draining or gone by now.
+
+        If discovery does not answer in time, clients are served from the configured list.
+        """
+        timeout = self.watch.spread + FIRST_LIST_TIMEOUT
+        events = [self.loop.create_task(event.wait()) for event in (self.watch.synchronized, self.stop)]
+        await asyncio.wait(events, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+        for event in events:
+            event.cancel()
+        if not self.watch.synchronized.is_set():
+            log.warning("configured_hosts_used", address=self.config.discovery, waited_s=timeout)
+
     def _gauges(self) -> dict[str, int]:
         gauges = self.clients.gauges() | {"calls": len(self.driver.calls)} | self.driver.hosts.gauges()
         return gauges | (self.members.gauges() if self.members else {})
--- a/saffrongw/upgrade.py
+++ b/saffrongw/upgrade.py
@@ -415,7 +415,7 @@
         self.on_connection_counts: Callable[[int, int], None] = lambda clients, hosts: None
         self.execute_command: ExecuteCommand | None = None  # for commands that the predecessor forwards
 
-    async def take_over(self, driver: Driver, host_list_received: asyncio.Event) -> bool:
+    async def take_over(self, driver: Driver, host_list_synchronized: asyncio.Event) -> bool:
         """Take over the state, after discovery's first list or DISCOVERY_TIMEOUT.
 
         Return False if that failed: this process then starts without the predecessor's state.
@@ -425,14 +425,14 @@
             self.channel = await Channel.from_socket(self.sock)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(DISCOVERY_TIMEOUT):
-                    await host_list_received.wait()
+                    await host_list_synchronized.wait()
             self.channel.send(take=True)
             async with asyncio.timeout(FREEZE_TIMEOUT):
                 state, rows, attempts_out = await self._receive_state()
             hosts = tuple(map(_host_entry, state["hosts"]))
             restored = handover.decode(driver.gateway, state["state"], rows)
             driver.clock.base = int(state["clock"])
-            if not host_list_received.is_set():
+            if not host_list_synchronized.is_set():
                 driver.apply_host_list(HostList(0, True, hosts))
             restored.apply_to(driver.gateway)
             for row in attempts_out:
--- a/tests/test_drain_notification.py
+++ b/tests/test_drain_notification.py
@@ -7,9 +7,12 @@
 
 import asyncio
 
+import pytest
 from conftest import GatewayProcesses, asyncio_test, until
 from discovery_agent import Agent, Load, TimedHost
 
+READY_WITHIN = 10.0  # seconds in which a restarted gateway has to serve
+
 
 @asyncio_test
 async def test_a_restarted_gateway_sends_nothing_to_a_host_that_drained_meanwhile(tmp_path):
@@ -28,3 +31,44 @@
             await gateway.start(ready=False)
             await until(lambda: load.served >= served + 200)
     assert drained.commands_after(started_at) == []
+
+
+@pytest.mark.parametrize("discovery", ["pushed", "on_request"])
+@asyncio_test
+async def test_a_restarted_gateway_asks_discovery_before_it_serves(tmp_path, discovery):
+    """Also where lists are only sent on request: a change counts as notified 6 s after discovery had it."""
+    drained, ready = await TimedHost("a").listen(), await TimedHost("b").listen()
+    agent = await Agent().listen(drained, ready)
+    await agent.publish(drained, health="DRAINING")
+    async with GatewayProcesses(tmp_path, drained, ready, discovery=agent.address_text) as gateway:
+        gateway.configuration["settings"] |= {"discovery": discovery}
+        async with Load(gateway) as load:
+            await gateway.start(ready=False)
+            await until(lambda: load.served >= 50)
+    assert drained.times == []
+    assert ("index=1&wait=1" in agent.requests[0]) == (discovery == "on_request")
+
+
+@pytest.mark.parametrize("discovery", ["silent", "unreachable"])
+@asyncio_test
+async def test_a_gateway_whose_discovery_is_down_serves_from_its_configured_list(tmp_path, discovery):
+    host = await TimedHost("a").listen()
+    agent = await Agent(silent=True).listen(host)
+    if discovery == "unreachable":
+        agent.close()
+    async with (
+        GatewayProcesses(tmp_path, host, discovery=agent.address_text) as gateway,
+        Load(gateway) as load,
+    ):
+        await gateway.start(ready=False)
+        await until(lambda: load.served >= 50, timeout=READY_WITHIN)
+
+
+@asyncio_test
+async def test_sigterm_ends_a_gateway_that_waits_for_discovery(tmp_path):
+    agent = await Agent(silent=True).listen()
+    async with GatewayProcesses(tmp_path, discovery=agent.address_text) as gateway:
+        process = await gateway.start(ready=False)
+        await until(lambda: agent.requests)
+        process.terminate()
+        assert await asyncio.wait_for(process.wait(), READY_WITHIN) == 0
