Ask a pushing discovery again within 50 ms after any failure, instead of up to 4 s

Where lists are pushed, what the agent has counts as notified at once, watch or no watch, so a host that began to drain as discovery recovered still got requests.

Evidence: the new test lets seven requests fail in a row (reset, closed, cut off, malformed, refused with and without close) and publishes a drain with the last one.

Change: Watch takes the longest interval without a request after a failed one; where lists are pushed it is 50 ms, so that with 0.15 s of hold-up a drain stays within its grace. The agent runs on the gateway's own machine and its answers cost nothing. Where lists are only sent on request, the intervals are unchanged.

--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -30,6 +30,9 @@
 LONG_POLL_WAIT = 2.0  # until it is over, a hung discovery agent can't be told from one without changes
 RESPONSE_TIMEOUT = 1.0  # added to the long-poll wait; after it the watch reconnects
 BACKOFF_MIN, BACKOFF_MAX = 0.05, 1.0  # before reconnecting, doubled with each failure
+# Where an agent on this machine has lists pushed to it: what it has counts as delivered at once, so that no
+# request may be out only for a part of the drain grace.
+PUSHED_RETRY_INTERVAL_MAX = 0.05
 
 # Discovery may be overloaded: requests then queue there, and with too many of them none is answered in time.
 # Continuing a watch costs discovery nothing, a new watch costs one request and the changes since its version,
@@ -58,6 +61,11 @@
     return min(ATTEMPT_INTERVAL_MAX, FIRST_REQUEST_SPACING * (gateways - 1)) if on_request else 0.0
 
 
+def retry_interval_max(on_request: bool) -> float:
+    """Return the most seconds without a request after a failed one; ``on_request`` as above."""
+    return ATTEMPT_INTERVAL_MAX if on_request else PUSHED_RETRY_INTERVAL_MAX
+
+
 class DiscoveryConnection(asyncio.Protocol):
     """One HTTP connection with one request in flight at a time.
 
@@ -164,6 +172,7 @@
         random_fraction: Callable[[], float] = lambda: 1.0,
         version: int | None = None,
         spread: float = 0.0,
+        retry_interval_max: float = ATTEMPT_INTERVAL_MAX,
     ) -> None:
         self.loop = loop
         self.address = address
@@ -174,6 +183,7 @@
         self.random_fraction = random_fraction  # from 0 to 1: jitter for gateways that started together
         self.version = version  # of the current list; changes since it are requested; None: the whole list
         self.spread = spread  # seconds over which the first requests of all gateways are spread
+        self.retry_interval_max = retry_interval_max  # seconds without a request after a failed one
         self.backoff = BACKOFF_MIN
         self.refused_interval = 0.0  # seconds between requests after refusals; 0: discovery is not overloaded
         # Latest loop time at which the next attempt starts: it can then still deliver a change that the
@@ -223,7 +233,7 @@
         """Close the connection, and reconnect after the backoff."""
         self.drop()
         self._set_timer(self._jittered_delay(max(self.backoff, self.refused_interval)), self.start)
-        self.backoff = min(BACKOFF_MAX, 2 * self.backoff)
+        self.backoff = min(BACKOFF_MAX, self.retry_interval_max, 2 * self.backoff)
 
     def _jittered_delay(self, delay: float) -> float:
         """Return a delay with jitter, so that the gateways of a fleet do not poll in step.
@@ -251,7 +261,7 @@
     def slow_down(self) -> None:
         """Increase the interval between requests, after one was refused or timed out."""
         self.refused_interval = min(
-            ATTEMPT_INTERVAL_MAX, max(REFUSED_INTERVAL_MIN, self.spread, 2 * self.refused_interval)
+            self.retry_interval_max, max(REFUSED_INTERVAL_MIN, self.spread, 2 * self.refused_interval)
         )
 
     def refused(self, keep_alive: bool) -> None:
--- a/saffrongw/process.py
+++ b/saffrongw/process.py
@@ -19,7 +19,7 @@
 from .clients import Clients
 from .config import Config
 from .control import Control
-from .discovery import Watch, first_request_spread
+from .discovery import Watch, first_request_spread, retry_interval_max
 from .driver import Driver
 from .hosts import Hosts
 from .peers import Peers
@@ -125,6 +125,7 @@
             random_fraction=random.Random(self.config.seed).random,
             version=None if predecessor else since,
             spread=first_request_spread(settings.gateways, settings.asks_for_list),
+            retry_interval_max=retry_interval_max(settings.asks_for_list),
         )
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         if predecessor or since is None:
--- a/tests/discovery_agent.py
+++ b/tests/discovery_agent.py
@@ -9,7 +9,7 @@
 import contextlib
 import json
 import re
-from collections.abc import Callable
+from collections import deque
 from dataclasses import dataclass, field
 
 from conftest import FakeClient, FakeHost, GatewayProcesses
@@ -21,6 +21,23 @@
 REQUEST_INTERVAL = 0.005  # seconds between the requests of the load
 
 
+def response(body: bytes, status: bytes = b"200 OK") -> bytes:
+    """Return an HTTP response."""
+    return b"HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body)
+
+
+WHOLE_LIST = response(b'{"seq":1,"whole":true,"hosts":[]}')
+FAULTS = {  # what is sent before the connection is closed; None: it is reset
+    "reset": None,
+    "closed": b"",
+    "cut off": WHOLE_LIST[:-9],
+    "malformed": response(b"[]"),
+    "refused": response(b"", b"503 Busy"),
+    "refused and kept": response(b"", b"503 Busy"),
+}
+KEPT_OPEN = ("refused and kept",)
+
+
 @dataclass
 class Agent:
     """The agent's state and its connections."""
@@ -31,7 +48,8 @@
     published_at: dict[str, float] = field(default_factory=dict)  # loop time of each host's last change
     answer_delay: float = 0.0  # seconds before each answer
     silent: bool = False  # accepts connections and requests, and answers none
-    spoil: Callable[[bytes], bytes] | None = None  # applied to the next response, which ends its connection
+    faults: deque[str] = field(default_factory=deque)  # of FAULTS: one for each of the next requests
+    faults_over: asyncio.Event = field(default_factory=asyncio.Event)  # set with the last one
     requests: list[str] = field(default_factory=list)
     server: asyncio.Server | None = None
     address: tuple[str, int] = ("127.0.0.1", 0)
@@ -80,16 +98,25 @@
                 head = await reader.readuntil(b"\r\n\r\n")
                 target = head.split()[1].decode()
                 self.requests.append(target)
-                body = json.dumps(await self._answer(target)).encode()
-                response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
-                if self.spoil:
-                    spoil, self.spoil = self.spoil, None
-                    writer.write(spoil(response))
+                if self.faults:
+                    if self._fail(self.faults.popleft(), writer):
+                        continue
                     break
-                writer.write(response)
+                writer.write(response(json.dumps(await self._answer(target)).encode()))
         self.writers.discard(writer)
         writer.close()
 
+    def _fail(self, fault: str, writer: asyncio.StreamWriter) -> bool:
+        """Answer one request with a fault; return whether the connection stays open."""
+        data = FAULTS[fault]
+        if not self.faults:
+            self.faults_over.set()
+        if data is None:
+            writer.transport.abort()
+            return False
+        writer.write(data)
+        return fault in KEPT_OPEN
+
     async def _answer(self, target: str) -> dict:
         since = re.search(r"index=(\d+)&wait=(\d+)", target)
         await asyncio.sleep(self.answer_delay)
--- a/tests/test_drain_notification.py
+++ b/tests/test_drain_notification.py
@@ -9,9 +9,10 @@
 
 import pytest
 from conftest import GatewayProcesses, asyncio_test, until
-from discovery_agent import Agent, Load, TimedHost
+from discovery_agent import FAULTS, Agent, Load, TimedHost
 
 READY_WITHIN = 10.0  # seconds in which a restarted gateway has to serve
+FAULTS_IN_SERIES = 7  # the delays before reconnecting have reached their maximum by then
 
 
 @asyncio_test
@@ -72,3 +73,24 @@
         await until(lambda: agent.requests)
         process.terminate()
         assert await asyncio.wait_for(process.wait(), READY_WITHIN) == 0
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+@asyncio_test
+async def test_a_drain_is_noticed_at_once_when_discovery_recovers_from_a_series_of_faults(tmp_path, fault):
+    """The delay before the next request grew to 1 s, 4 s after refusals, also where an agent pushes lists."""
+    drained, ready = await TimedHost("a").listen(), await TimedHost("b").listen()
+    agent = await Agent().listen(drained, ready)
+    async with (
+        GatewayProcesses(tmp_path, drained, ready, discovery=agent.address_text) as gateway,
+        Load(gateway) as load,
+    ):
+        await gateway.start(ready=False)
+        await until(lambda: drained.times and ready.times)
+        agent.faults.extend([fault] * FAULTS_IN_SERIES)
+        agent.reset_connections()
+        await asyncio.wait_for(agent.faults_over.wait(), 60)
+        await agent.publish(drained, health="DRAINING")
+        served = load.served
+        await until(lambda: load.served >= served + 200)
+    assert drained.commands_after(agent.published_at["a"]) == []
