Send nothing to a host that was taken out while the request waited for a handover

After a handover that failed, requests were decided on the list from before the freeze and sent, although the newer list was queued behind them and in force for the connections.

Evidence: the new test takes the state as a successor that never confirms and publishes a drain in the freeze of 1.5 s.

Change: what may still be sent is checked right before it is written (Driver.is_wanted), now against discovery's newest list too. A host that is draining, gone or unknown ends the attempt as not sent, and the module decides anew once it has the list.

test_no_retry_is_sent_after_the_deduplication_window told the decisions of a list that the connections did not know, which no path of the program does; it applies that list to both now, as strict as before: with both checks of the window taken out it fails.

--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -60,6 +60,9 @@
     def apply_host_list(self, host_list: HostList) -> list[Attempt]:
         """Apply an update of discovery's list; return queued attempts that must not be sent any more."""
 
+    def accepts_requests(self, server: api.Server) -> bool:
+        """Return whether discovery's newest list names the host as one that may get new requests."""
+
     def ban_host(self, server: api.Server) -> list[Attempt]:
         """Close a banned host's idle connections; return queued attempts that must not be sent any more."""
 
@@ -179,13 +182,16 @@
         """Return whether an attempt may still be sent, and end it if not; called right before it is written.
 
         It may not once the request is answered, nor once the client has closed, even if the event loop is
-        lagging and has not reported the close yet.
+        lagging and has not reported the close yet. Nor may it once the host is draining or gone: the decision
+        may have been made on an older list, as events are queued while the state is frozen.
         """
         call = attempt.call
         if call.finished:
             self._withdraw(attempt)  # another attempt was served while this one waited for a connection
         elif call.sink and call.sink.is_client_gone():
             self.client_gone(call)  # ends the attempt
+        elif not self.hosts.accepts_requests(attempt.server):
+            self._withdraw(attempt)
         return not attempt.ended
 
     def attempt_ended(
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -254,6 +254,7 @@
         self.waiting: deque[Attempt] = deque()
         self.opening = 0  # connections being established
         self.timer: asyncio.TimerHandle | None = None  # fires when the first connection's cooldown ends
+        self.draining = False
         self.retired = False
 
     def send(self, attempt: Attempt) -> None:
@@ -392,10 +393,18 @@
                 unsent += self.pools.pop(host.entry.server).retire()
             elif pool and host.entry.phase is api.Phase.DRAINING:
                 unsent += pool.take_waiting()
-            if not is_gone and host.entry.server not in self.pools:
+            if is_gone:
+                continue
+            if host.entry.server not in self.pools:
                 self.pools[host.entry.server] = Pool(self, host.address)
+            self.pools[host.entry.server].draining = host.entry.phase is api.Phase.DRAINING
         return unsent
 
+    def accepts_requests(self, server: api.Server) -> bool:
+        """Return whether discovery's newest list names the host as one that may get new requests."""
+        pool = self.pools.get(server)
+        return pool is not None and not pool.draining
+
     def ban_host(self, server: api.Server) -> list[Attempt]:
         """Close a banned host's idle connections, and return its queued attempts."""
         pool = self.pools.get(server)
--- a/tests/test_drain_notification.py
+++ b/tests/test_drain_notification.py
@@ -10,6 +10,7 @@
 import pytest
 from conftest import GatewayProcesses, asyncio_test, until
 from discovery_agent import FAULTS, Agent, Load, TimedHost
+from test_upgrade import connect_as_successor, receive_until
 
 READY_WITHIN = 10.0  # seconds in which a restarted gateway has to serve
 FAULTS_IN_SERIES = 7  # the delays before reconnecting have reached their maximum by then
@@ -94,3 +95,30 @@
         served = load.served
         await until(lambda: load.served >= served + 200)
     assert drained.commands_after(agent.published_at["a"]) == []
+
+
+@pytest.mark.parametrize("change", ["drain", "ban"])
+@asyncio_test
+async def test_requests_that_waited_for_a_handover_do_not_go_to_a_host_taken_out_meanwhile(tmp_path, change):
+    """While decisions are frozen, requests and lists are queued: requests were decided on the older list."""
+    stopped, ready = await TimedHost("a").listen(), await TimedHost("b").listen()
+    agent = await Agent().listen(stopped, ready)
+    async with (
+        GatewayProcesses(tmp_path, stopped, ready, discovery=agent.address_text) as gateway,
+        Load(gateway) as load,
+    ):
+        await gateway.start()
+        await until(lambda: stopped.times and ready.times)
+        sock = await asyncio.to_thread(connect_as_successor, gateway)
+        sock.sendall(b'{"take": true}\n')
+        await asyncio.to_thread(receive_until, sock, b'{"end": true}')
+        sent = load.sent
+        await until(lambda: load.sent >= sent + 50)
+        if change == "drain":
+            await agent.publish(stopped, health="DRAINING")
+        else:
+            assert (await gateway.send_control_call(b"OFFLINE a")).startswith("done")
+        notified_at, served = asyncio.get_running_loop().time(), load.served
+        await until(lambda: load.served >= served + 200)
+        sock.close()
+    assert stopped.commands_after(notified_at) == []
--- a/tests/test_host_links.py
+++ b/tests/test_host_links.py
@@ -348,7 +348,7 @@
         if isinstance(event, api.AttemptEnded):
             ended.append(event)
             if len(ended) == 1:  # before the retry is decided on: only the other host is left
-                feed(api.ServerListed(api.ListKind.CHANGES, 3, list_update_entries(gateway, first, second)))
+                gateway.apply_host_list(first.list_entry("DRAINING"), second.list_entry())
         feed(event)
 
     gateway.driver.feed = feed_and_update_list
@@ -363,15 +363,6 @@
     assert [event.outcome for event in ended][:2] == [api.Outcome.BROKEN, api.Outcome.NOT_CONNECTED]
 
 
-def list_update_entries(
-    gateway: LoopbackGateway, gone: FakeHost, ready: FakeHost
-) -> tuple[api.ServerEntry, ...]:
-    from saffrongw.config import parse_hosts
-
-    raw = {"seq": 3, "whole": False, "hosts": [gone.list_entry("DRAINING"), ready.list_entry()]}
-    return tuple(host.entry for host in parse_hosts(raw, gateway.config.zones).hosts)
-
-
 @asyncio_test
 async def test_connections_are_counted_once_on_every_path():
     """Hosts refuse, reset, close and answer under many requests; afterwards only idle connections count."""
