Apply a host list that has arrived before deciding on requests that arrived with it

Evidence: the new test stops a gateway for 0.5 s (SIGSTOP), sends requests on three connections, then publishes a drain.

Change: before an event is decided on, and right before an attempt is written, the driver looks for a list that has arrived, at most once each 20 ms. The watch reads its socket itself while a response is awaited; the end of the stream and errors stay with the event loop, which then finds nothing left to read.

--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import os
 from collections.abc import Callable
 
 import h11
@@ -19,6 +20,7 @@
 
 PATH = "/registry/instances"
 RESPONSE_BYTES_MAX = 4 * 1024 * 1024  # bounds memory use if a response never ends
+READ_SIZE = 256 * 1024  # bytes
 
 # All times in seconds.
 STALENESS_LIMIT = 6.0  # a change at discovery counts as delivered after this time, whether it arrived or not
@@ -128,6 +130,21 @@
         except MALFORMED_RESPONSE_ERRORS as error:
             self.watch.response_failed(self, error)
 
+    def read_pending(self) -> None:
+        """Process the part of a response that has arrived, without waiting for the event loop to report it.
+
+        The end of the stream and errors are left to the event loop.
+        """
+        descriptor = self.transport.get_extra_info("socket").fileno()
+        while self.watch.connection is self and self.http.their_state in (h11.SEND_RESPONSE, h11.SEND_BODY):
+            try:
+                data = os.read(descriptor, READ_SIZE)
+            except OSError:  # BlockingIOError: nothing more has arrived
+                return
+            if not data:
+                return
+            self.data_received(data)
+
     def _response_complete(self) -> None:
         body, self.body = bytes(self.body), bytearray()
         if self.status != 200 and self.status < 500:
@@ -194,6 +211,12 @@
         self.last_connect_succeeded: bool | None = None  # None: no attempt yet
         self.timer: asyncio.TimerHandle | None = None
 
+    def read_pending(self) -> None:
+        """Process a response that has arrived, even if the event loop has not reported it yet."""
+        connection = self.connection
+        if connection and connection.transport and not connection.transport.is_closing():
+            connection.read_pending()
+
     # -- states ---------------------------------------------------------------------------------------------
 
     def start_after_delay(self) -> None:
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -28,6 +28,8 @@
 # The client's deadline runs from when it sent the request, so the answer must leave this much earlier.
 REPLY_MARGIN = 10 * MS
 FAILED_REPLY = b"-ERR failed\r\n"
+# Between two looks for a list that has arrived while the event loop was busy or the process stood still.
+LIST_READ_INTERVAL = 20 * MS
 # Requests sent to a host up to this long after their client's close, before it was noticed, are not counted.
 CLIENT_GONE_TOLERANCE = 300 * MS
 
@@ -112,6 +114,9 @@
         self.observer: Observer | None = None  # receives measurements; None: metrics are off
         self.request_log: RequestLog | None = None  # None: the log level is above debug
         self.list_version = 0  # of the host list that is held
+        # Applies a list that has arrived although the event loop has not reported it yet.
+        self.read_pending_list: Callable[[], None] = lambda: None
+        self.list_read_at = 0  # time of the last such look
         # Runs before each event to detect a pause of this process; may return an event to be handled first.
         self.pre_event_hook: Callable[[], api.MembersChanged | None] | None = None
 
@@ -185,6 +190,7 @@
         lagging and has not reported the close yet. Nor may it once the host is draining or gone: the decision
         may have been made on an older list, as events are queued while the state is frozen.
         """
+        self._look_for_list()
         call = attempt.call
         if call.finished:
             self._withdraw(attempt)  # another attempt was served while this one waited for a connection
@@ -281,6 +287,8 @@
         the state is frozen, all events are queued. After a handover the successor also receives the events
         that change a host's load, the quotas and what it knows of peers.
         """
+        if not (self.is_handling or self.frozen):
+            self._look_for_list()
         self.pending_events.append(event)
         if self.successor and isinstance(event, api.AttemptEnded | api.AttemptElsewhere | api.PeerMessage):
             self.successor.forward_event(event)
@@ -293,6 +301,13 @@
         finally:
             self.is_handling = False
 
+    def _look_for_list(self) -> None:
+        """Apply a list that has already arrived before anything more is decided or sent on an older one."""
+        now = self.clock()
+        if now - self.list_read_at >= LIST_READ_INTERVAL:
+            self.list_read_at = now
+            self.read_pending_list()
+
     def _handle(self, event: api.Event) -> None:
         if self.pre_event_hook and (hook_event := self.pre_event_hook()):
             self.gateway.handle(self.clock(), hook_event)
--- a/saffrongw/process.py
+++ b/saffrongw/process.py
@@ -127,6 +127,7 @@
             spread=first_request_spread(settings.gateways, settings.asks_for_list),
             retry_interval_max=retry_interval_max(settings.asks_for_list),
         )
+        self.driver.read_pending_list = self.watch.read_pending
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         if predecessor or since is None:
             self.watch.start()
--- a/tests/test_drain_notification.py
+++ b/tests/test_drain_notification.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 
 import pytest
 from conftest import GatewayProcesses, asyncio_test, until
@@ -14,6 +15,7 @@
 
 READY_WITHIN = 10.0  # seconds in which a restarted gateway has to serve
 FAULTS_IN_SERIES = 7  # the delays before reconnecting have reached their maximum by then
+PAUSE = 0.5  # seconds for which a process stands still: longer than a drain's grace
 
 
 @asyncio_test
@@ -122,3 +124,28 @@
         await until(lambda: load.served >= served + 200)
         sock.close()
     assert stopped.commands_after(notified_at) == []
+
+
+@pytest.mark.parametrize("number", range(4))
+@asyncio_test
+async def test_after_a_pause_requests_are_decided_on_the_list_that_came_with_them(tmp_path, number):
+    """Requests that were read before the list, in one turn of the event loop, went to the drained host."""
+    drained, ready = await TimedHost("a").listen(), await TimedHost("b").listen()
+    agent = await Agent().listen(drained, ready)
+    async with (
+        GatewayProcesses(tmp_path, drained, ready, discovery=agent.address_text) as gateway,
+        Load(gateway) as load,
+        Load(gateway),
+        Load(gateway),
+    ):
+        process = await gateway.start()
+        await until(lambda: drained.times and ready.times)
+        process.send_signal(signal.SIGSTOP)
+        sent = load.sent
+        await until(lambda: load.sent >= sent + 20)
+        await agent.publish(drained, health="DRAINING")
+        await asyncio.sleep(PAUSE)
+        served = load.served
+        process.send_signal(signal.SIGCONT)
+        await until(lambda: load.served >= served + 100)
+    assert drained.commands_after(agent.published_at["a"]) == []
