Ask for the whole list after a malformed entry among discovery's changes

Evidence: the new test publishes a drain without an address, or with a block that is no number.

Change: the entries that can be read are applied, and the whole list is asked for at once. A host that it does not name legibly is gone, as before.

--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -329,7 +329,8 @@
         The next request is sent only after the list is applied: with a long list the next list could arrive
         meanwhile, and clients would wait until both are applied.
 
-        A lower version means that discovery restarted with another list: the whole list is requested.
+        A lower version means that discovery restarted with another list: the whole list is requested. So it is
+        after a malformed entry among changes, as the host that it names may be draining.
         """
         self.backoff = BACKOFF_MIN
         if self.refused_interval > REFUSED_INTERVAL_MIN:
@@ -339,12 +340,13 @@
         version_decreased = (
             not host_list.whole and self.version is not None and host_list.version < self.version
         )
-        self.version = None if version_decreased else host_list.version
+        is_incomplete = host_list.malformed > 0 and not host_list.whole
+        self.version = None if version_decreased or is_incomplete else host_list.version
         if host_list.malformed:
             log.warning("discovery_odd_entries", left_out=host_list.malformed, version=host_list.version)
         if host_list.whole or host_list.hosts:
             self.on_update(host_list)
-        if not version_decreased:
+        if self.version is not None:
             self.synchronized.set()
         if keep_alive:
             self._poll_again()
--- a/tests/discovery_agent.py
+++ b/tests/discovery_agent.py
@@ -10,6 +10,7 @@
 import json
 import re
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from conftest import FakeClient, FakeHost, GatewayProcesses
@@ -78,10 +79,11 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
-    async def publish(self, host: FakeHost, **changes) -> None:
-        """Change a host's entry: from now on gateways count as notified."""
+    async def publish(self, host: FakeHost, spoil: Callable[[dict], dict] | None = None, **changes) -> None:
+        """Change a host's entry, spoilt if so wished: from now on gateways count as notified."""
         self.version += 1
-        self.entries[host.name] = host.list_entry(**changes)
+        entry = host.list_entry(**changes)
+        self.entries[host.name] = spoil(entry) if spoil else entry
         self.changed_in[host.name] = self.version
         self.published_at[host.name] = asyncio.get_running_loop().time()
         await self.wake()
--- a/tests/test_drain_notification.py
+++ b/tests/test_drain_notification.py
@@ -149,3 +149,29 @@
         process.send_signal(signal.SIGCONT)
         await until(lambda: load.served >= served + 100)
     assert drained.commands_after(agent.published_at["a"]) == []
+
+
+def malformed(entry: dict) -> dict:
+    return entry | {"block": "none"}
+
+
+def without_address(entry: dict) -> dict:
+    return {name: value for name, value in entry.items() if name != "dial"}
+
+
+@pytest.mark.parametrize("spoil", [malformed, without_address])
+@asyncio_test
+async def test_a_drain_in_a_malformed_entry_takes_the_host_out(tmp_path, spoil):
+    """The entry was left out, and the change was never asked for again: the host stayed in use for good."""
+    drained, ready = await TimedHost("a").listen(), await TimedHost("b").listen()
+    agent = await Agent().listen(drained, ready)
+    async with (
+        GatewayProcesses(tmp_path, drained, ready, discovery=agent.address_text) as gateway,
+        Load(gateway) as load,
+    ):
+        await gateway.start()
+        await until(lambda: drained.times and ready.times)
+        await agent.publish(drained, spoil=spoil, health="DRAINING")
+        served = load.served
+        await until(lambda: load.served >= served + 200)
+    assert drained.commands_after(agent.published_at["a"]) == []
