Do not apply the changes of a discovery whose version has gone back

Evidence: the new test failed before (the changes of version 1 were passed on to a gateway that held version 9) and is green now.

--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -329,8 +329,9 @@
         The next request is sent only after the list is applied: with a long list the next list could arrive
         meanwhile, and clients would wait until both are applied.
 
-        A lower version means that discovery restarted with another list: the whole list is requested. So it is
-        after a malformed entry among changes, as the host that it names may be draining.
+        A lower version means that discovery restarted with another list: its changes do not apply to this one,
+        and the whole list is requested. So it is after a malformed entry among changes, as the host that it
+        names may be draining.
         """
         self.backoff = BACKOFF_MIN
         if self.refused_interval > REFUSED_INTERVAL_MIN:
@@ -344,7 +345,7 @@
         self.version = None if version_decreased or is_incomplete else host_list.version
         if host_list.malformed:
             log.warning("discovery_odd_entries", left_out=host_list.malformed, version=host_list.version)
-        if host_list.whole or host_list.hosts:
+        if (host_list.whole or host_list.hosts) and not version_decreased:
             self.on_update(host_list)
         if self.version is not None:
             self.synchronized.set()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -369,3 +369,13 @@
     else:
         raise AssertionError("an unknown sender got a reply")
     transport.close()
+
+
+@asyncio_test
+async def test_changes_of_a_lower_version_are_not_applied_to_the_list_held():
+    """Discovery has restarted: its changes may call a host ready that drains."""
+    change = {"seq": 1, "whole": False, "hosts": [host_entry("a")]}
+    whole = {"seq": 2, "whole": True, "hosts": [host_entry("a", health="DRAINING")]}
+    _, received = await start_watch([change, whole], version=9)
+    await until(lambda: received)
+    assert [host_list.version for host_list in received] == [2]
