Wait longer for each answer of a slow discovery, and up to 4 s for the first one at a start

Change: the time that the watch waits for an answer doubles with each timeout, until the next attempt is due (4 s after the one before, as ever). At a start clients are accepted after the first answer or 4 s instead of 1 s, so that such an answer comes in time; readiness within 10 s has room for it.

--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -30,7 +30,9 @@
 CONNECT_TIMEOUT = 1.0
 SYNCHRONIZING_WAIT = 0.001  # of the long poll that only asks whether the configured list is still current
 LONG_POLL_WAIT = 2.0  # until it is over, a hung discovery agent can't be told from one without changes
-RESPONSE_TIMEOUT = 1.0  # added to the long-poll wait; after it the watch reconnects
+RESPONSE_TIMEOUT = (
+    1.0  # added to the long-poll wait; after it the watch reconnects. Doubled with each timeout
+)
 BACKOFF_MIN, BACKOFF_MAX = 0.05, 1.0  # before reconnecting, doubled with each failure
 # Where an agent on this machine has lists pushed to it: what it has counts as delivered at once, so that no
 # request may be out only for a part of the drain grace.
@@ -197,6 +199,7 @@
         self.on_update = on_update
         self.long_poll_wait = long_poll_wait
         self.response_timeout = response_timeout
+        self.patience = response_timeout  # doubled with each timeout: discovery may be slow, not silent
         self.random_fraction = random_fraction  # from 0 to 1: jitter for gateways that started together
         self.version = version  # of the current list; changes since it are requested; None: the whole list
         self.spread = spread  # seconds over which the first requests of all gateways are spread
@@ -309,13 +312,14 @@
 
     def _poll(self) -> None:
         """Request the changes since the current version by long poll, or the whole list if there is none."""
-        target, timeout = PATH, self.response_timeout
+        target, timeout = PATH, self.patience
         if self.version is not None:
             wait = self.long_poll_wait if self.synchronized.is_set() else SYNCHRONIZING_WAIT
             target = f"{PATH}?index={self.version}&wait={int(wait * 1000)}"
             timeout += wait
-        if self.refused_interval:  # overloaded: the response may take until the next attempt is due
-            timeout = max(timeout, self.next_attempt_due - BACKOFF_MIN - self.loop.time())
+        time_left = max(self.response_timeout, self.next_attempt_due - BACKOFF_MIN - self.loop.time())
+        # Overloaded: the response may take until the next attempt is due.
+        timeout = time_left if self.refused_interval else min(timeout, time_left)
         self._set_timer(timeout, self._response_timed_out)
         self.connection.send_request(target, ":".join(map(str, self.address)))
 
@@ -329,11 +333,12 @@
         The next request is sent only after the list is applied: with a long list the next list could arrive
         meanwhile, and clients would wait until both are applied.
 
-        A lower version means that discovery restarted with another list: its changes do not apply to this one,
-        and the whole list is requested. So it is after a malformed entry among changes, as the host that it
-        names may be draining.
+        A lower version means that discovery restarted with another list: its changes do not apply to this
+        one, and the whole list is requested. So it is after a malformed entry among changes, as the host that
+        it names may be draining.
         """
         self.backoff = BACKOFF_MIN
+        self.patience = self.response_timeout
         if self.refused_interval > REFUSED_INTERVAL_MIN:
             self.refused_interval *= REFUSED_INTERVAL_DECAY
         else:
@@ -370,5 +375,6 @@
     def _response_timed_out(self) -> None:
         if self.refused_interval:  # a single timeout without earlier refusals does not slow polling down
             self.slow_down()
+        self.patience = min(2 * self.patience, ATTEMPT_INTERVAL_MAX)
         log.warning("discovery_silent", address=self.address)
         self._reconnect_later()
--- a/saffrongw/process.py
+++ b/saffrongw/process.py
@@ -33,7 +33,7 @@
 SHUTDOWN_ACCEPT_TIME = 0.5  # seconds after SIGTERM in which new connections are still served
 RESERVED_DESCRIPTORS = 48  # for all but clients and hosts: event loop, watch, peers, logs, operators
 UPGRADE_DESCRIPTORS = 24  # reserved in addition while a predecessor finishes: both share one limit
-FIRST_LIST_TIMEOUT = 1.0  # seconds to wait for discovery's first answer, which its agent sends at once
+FIRST_LIST_TIMEOUT = 4.0  # seconds to wait for discovery's first answer; a restart has to be ready in 10 s
 CLIENT_DESCRIPTOR_SHARE = 1 / 3  # of all descriptors: the limit for client connections
 
 # Raised while an unusable configuration is read or parsed.
@@ -200,7 +200,7 @@
 
         If discovery does not answer in time, clients are served from the configured list.
         """
-        timeout = self.watch.spread + FIRST_LIST_TIMEOUT
+        timeout = max(FIRST_LIST_TIMEOUT, self.watch.spread + self.watch.response_timeout)
         events = [self.loop.create_task(event.wait()) for event in (self.watch.synchronized, self.stop)]
         await asyncio.wait(events, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
         for event in events:
--- a/tests/test_drain_notification.py
+++ b/tests/test_drain_notification.py
@@ -175,3 +175,14 @@
         served = load.served
         await until(lambda: load.served >= served + 200)
     assert drained.commands_after(agent.published_at["a"]) == []
+
+
+@asyncio_test
+async def test_the_list_of_a_slow_discovery_arrives(tmp_path):
+    """A whole list that took over 1 s was given up and asked for again, for ever."""
+    known, listed = await TimedHost("a").listen(), await TimedHost("b").listen()
+    agent = await Agent(answer_delay=1.6).listen(listed)
+    async with GatewayProcesses(tmp_path, known, discovery=agent.address_text) as gateway, Load(gateway):
+        await gateway.start(ready=False)
+        await until(lambda: listed.times, timeout=READY_WITHIN)
+    assert known.times == []
