--- a/tests/discovery_agent.py
+++ b/tests/discovery_agent.py
@@ -47,6 +47,7 @@
     version: int = 1
     changed_in: dict[str, int] = field(default_factory=dict)  # version of each host's last change
     published_at: dict[str, float] = field(default_factory=dict)  # loop time of each host's last change
+    whole_since: int = 0  # requests with an older version are answered with the whole list
     answer_delay: float = 0.0  # seconds before each answer
     silent: bool = False  # accepts connections and requests, and answers none
     faults: deque[str] = field(default_factory=deque)  # of FAULTS: one for each of the next requests
@@ -88,6 +89,14 @@
         self.published_at[host.name] = asyncio.get_running_loop().time()
         await self.wake()
 
+    async def leave_out(self, host: FakeHost) -> None:
+        """Take a host off the list: the next answers are whole lists that do not name it."""
+        self.version += 1
+        del self.entries[host.name]
+        self.whole_since = self.version
+        self.published_at[host.name] = asyncio.get_running_loop().time()
+        await self.wake()
+
     async def wake(self) -> None:
         """Have waiting requests look at the state again."""
         async with self.changed:
@@ -128,7 +137,7 @@
                     async with asyncio.timeout(int(since[2]) / 1000):
                         await self.changed.wait_for(lambda: self.version > int(since[1]) and not self.silent)
             await self.changed.wait_for(lambda: not self.silent)
-        whole = since is None
+        whole = since is None or int(since[1]) < self.whole_since
         names = [n for n in self.entries if whole or self.changed_in.get(n, 0) > int(since[1])]
         return {"seq": self.version, "whole": whole, "hosts": [self.entries[name] for name in names]}
 
--- a/tests/test_drain_notification.py
+++ b/tests/test_drain_notification.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 
 import pytest
@@ -15,6 +16,7 @@
 
 READY_WITHIN = 10.0  # seconds in which a restarted gateway has to serve
 FAULTS_IN_SERIES = 7  # the delays before reconnecting have reached their maximum by then
+OUTAGE = 2.5  # seconds
 PAUSE = 0.5  # seconds for which a process stands still: longer than a drain's grace
 
 
@@ -186,3 +188,80 @@
         await gateway.start(ready=False)
         await until(lambda: listed.times, timeout=READY_WITHIN)
     assert known.times == []
+
+
+async def reset_watch(gateway: GatewayProcesses, agent: Agent) -> None:
+    agent.reset_connections()
+
+
+async def interrupt_discovery(gateway: GatewayProcesses, agent: Agent) -> None:
+    agent.close()
+    await asyncio.sleep(OUTAGE)
+    await agent.listen()
+
+
+async def terminate(gateway: GatewayProcesses, agent: Agent) -> None:
+    gateway.processes[-1].terminate()
+
+
+async def terminate_twice(gateway: GatewayProcesses, agent: Agent) -> None:
+    for _ in range(2):
+        gateway.processes[-1].terminate()
+        await asyncio.sleep(0.01)
+
+
+async def reload_and_terminate(gateway: GatewayProcesses, agent: Agent) -> None:
+    for number in (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM):
+        gateway.processes[-1].send_signal(number)
+        await asyncio.sleep(0.01)
+
+
+async def move_discovery(gateway: GatewayProcesses, agent: Agent) -> None:
+    """Move to another address of the same agent, twice, while the former one is not listened to any more."""
+    for _ in range(2):
+        agent.server.close()
+        agent.address = ("127.0.0.1", 0)
+        await agent.listen()
+        file = gateway.folder / "config0.json"
+        file.write_text(json.dumps(json.loads(file.read_text()) | {"discovery": agent.address_text}))
+        gateway.processes[-1].send_signal(signal.SIGHUP)
+
+
+async def order_drain(gateway: GatewayProcesses, agent: Agent) -> None:
+    assert (await gateway.send_control_call(b"LEAVE")).startswith("done")
+
+
+TROUBLES = (
+    reset_watch,
+    interrupt_discovery,
+    terminate,
+    terminate_twice,
+    reload_and_terminate,
+    move_discovery,
+    order_drain,
+)
+
+
+@pytest.mark.parametrize("change", ["draining", "deleted", "left out"])
+@pytest.mark.parametrize("trouble", TROUBLES)
+@asyncio_test
+async def test_a_host_taken_off_the_list_right_after_a_trouble_gets_nothing_new(tmp_path, trouble, change):
+    drained, ready = await TimedHost("a").listen(), await TimedHost("b").listen()
+    agent = await Agent().listen(drained, ready)
+    async with (
+        GatewayProcesses(tmp_path, drained, ready, discovery=agent.address_text) as gateway,
+        Load(gateway) as load,
+        Load(gateway),
+    ):
+        await gateway.start()
+        await until(lambda: drained.times and ready.times)
+        await trouble(gateway, agent)
+        if change == "left out":
+            await agent.leave_out(drained)
+        else:
+            await agent.publish(drained, health={"draining": "DRAINING", "deleted": "DELETED"}[change])
+        served = load.served
+        process = gateway.processes[-1]
+        await until(lambda: load.served >= served + 100 or process.returncode is not None)
+    assert drained.commands_after(agent.published_at["a"]) == []
+    assert ready.commands_after(agent.published_at["a"]) != []
