Hold back the stored list of a restarted follower or agent until a service confirms it

A gateway that started with its agent took that list for discovery's current one.

Evidence: the new test restarts each behind a link that delays requests by 0.3 s, with a drain written meanwhile; on both answered SERVING.

Change: with a stored list, a replica listens for readers once a service has confirmed the list or sent a newer one, or each service was tried in vain, or after 2 s, which is less than the 4 s for which a gateway waits for its first list.

--- a/registry/replicas.py
+++ b/registry/replicas.py
@@ -31,7 +31,7 @@
         self.demote = demote
 
     async def on_start(self) -> None:
-        """Load the store and serve its list until an update arrives."""
+        """Load the store; serve its list once it is confirmed, or while no service can be reached."""
         role = self.store.load(self.ledger)
         if role != FOLLOWER and not self.demote:
             raise StoreError(f"{self.store.path} is a primary's: leave --follow out, or add --demote")
@@ -40,6 +40,8 @@
         if self.ledger.seq:
             self.upstream.restore_age(self.store.path)
         self.spawn(self.upstream.run())
+        if self.ledger.seq:
+            await self.upstream.wait_for_first_round()
 
     async def apply_update(self, update: ListUpdate) -> None:
         """Store a newer update, then publish it to readers."""
@@ -101,7 +103,7 @@
         self.disk = ThreadPoolExecutor(1)
 
     async def on_start(self) -> None:
-        """Load the snapshot, if there is a valid one."""
+        """Load the snapshot, if there is a valid one; serve it as a follower serves its stored list."""
         if self.snapshot_file:
             try:
                 snapshot.load(self.snapshot_file, self.ledger)
@@ -112,6 +114,8 @@
                 log.warning("kept_list_unusable", file=self.snapshot_file, error=error)
             self.spawn(self._save_loop())
         self.spawn(self.upstream.run())
+        if self.ledger.seq:
+            await self.upstream.wait_for_first_round()
 
     async def apply_update(self, update: ListUpdate) -> None:
         """Apply a newer update, publish it to readers and schedule a save."""
--- a/registry/upstream.py
+++ b/registry/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import time
 from collections import Counter
@@ -24,6 +25,8 @@
 POLL_WAIT = 5.0  # seconds of a long poll; until it ends, a hung service looks like an idle one
 ANSWER_TIMEOUT = 2.0  # seconds on top of the long poll
 CONNECT_TIMEOUT = 1.0  # seconds
+# Seconds for which a stored list is held back at a start: a gateway that starts with it waits for 4 s.
+FIRST_ROUND_TIMEOUT = 2.0
 MIN_BACKOFF, MAX_BACKOFF = 0.1, 5.0  # seconds, doubled each time all services have failed
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
@@ -100,6 +103,7 @@
         self.needs_full_list = False  # the last update did not apply to the current list
         self.confirmed_at: float | None = None  # loop time at which a service last confirmed the list
         self.confirmed_age = 0.0  # seconds: the age that the service itself reported then
+        self.first_round_over = asyncio.Event()  # a service has answered, or each has been tried in vain
 
     def age(self) -> float | None:
         """Return the seconds since the list was last confirmed current, or None if it never was."""
@@ -112,6 +116,12 @@
         self.confirmed_at = asyncio.get_running_loop().time()
         self.confirmed_age = max(0.0, time.time() - file.stat().st_mtime)
 
+    async def wait_for_first_round(self) -> None:
+        """Wait until a stored list is known to be current, or no service could be reached."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_ROUND_TIMEOUT):
+                await self.first_round_over.wait()
+
     async def run(self) -> None:
         """Watch until cancelled, moving to the next service when one fails or has an older list."""
         while True:
@@ -127,6 +137,8 @@
             self.current = (self.current + 1) % len(self.services)
             backoff = min(MAX_BACKOFF, MIN_BACKOFF * 2 ** min(self.failures // len(self.services), 16))
             self.failures += 1
+            if self.failures >= len(self.services):
+                self.first_round_over.set()
             await asyncio.sleep(backoff * (1 + self.random_fraction()) / 2)
 
     async def _watch(self, address: Address) -> None:
@@ -185,6 +197,7 @@
             self.counts["taken"] += 1
         self.needs_full_list = False
         self.confirmed_at = asyncio.get_running_loop().time()
+        self.first_round_over.set()
         age = response.headers.get("age", "0")
         self.confirmed_age = float(age) if age.isdigit() else 0.0
         return True
--- a/tests/test_registry_followers.py
+++ b/tests/test_registry_followers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import json
 import sqlite3
 
+import pytest
 from conftest import FakeHost, GatewayProcesses, asyncio_test, free_address
 from registry_processes import (
     PATH,
@@ -192,6 +194,55 @@
                 await asyncio.sleep(0.05)
 
 
+class SlowLink:
+    """A relay to a service that delays each request, as a slow network or a busy service does."""
+
+    def __init__(self, service: str, delay: float) -> None:
+        self.service, self.delay = service, delay
+
+    async def __aenter__(self) -> SlowLink:
+        self.server = await asyncio.start_server(self._relay, "127.0.0.1", 0)
+        self.address = address_of(self.server)
+        return self
+
+    async def _relay(self, reader, writer) -> None:
+        host, port = self.service.split(":")
+        upstream_reader, upstream_writer = await asyncio.open_connection(host, int(port))
+        await asyncio.gather(
+            self._copy(reader, upstream_writer, self.delay), self._copy(upstream_reader, writer, 0.0)
+        )
+
+    async def _copy(self, reader, writer, delay: float) -> None:
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65_536):
+                await asyncio.sleep(delay)
+                writer.write(data)
+        writer.close()
+
+    async def __aexit__(self, *error) -> None:
+        self.server.close()
+
+
+@pytest.mark.parametrize("kind", ["agent", "follower"])
+@asyncio_test
+async def test_a_restarted_replica_does_not_serve_a_list_from_before_its_restart(tmp_path, kind):
+    """A gateway that starts with its agent took the stored list for discovery's current one."""
+    async with Registry(tmp_path) as registry:
+        primary = await registry.node().start("--new")
+        put = await primary.put("s-1")
+        async with SlowLink(primary.listen, 0.3) as link:
+            if kind == "agent":
+                replica = agent_node(registry, link.address, keep=tmp_path / "kept")
+            else:
+                replica = registry.node("b", follow=link.address)
+            await replica.start(*(["--new"] if kind == "follower" else []))
+            await replica.wait_for_list(lambda answer: host_names(answer) == {"s-1"})
+            await replica.stop()
+            await primary.post("s-1", "drain", put["version"])
+            await replica.start()
+            assert [host["health"] for host in (await replica.list())["hosts"]] == ["DRAINING"]
+
+
 @asyncio_test
 async def test_agent_ignores_damaged_list_file(tmp_path):
     async with Registry(tmp_path) as registry:
