Have an agent notice a silent link to its service in time for a change to count

Change: the long poll lasts 3 s, so that a silent link is left after 5 s. A follower or agent without changes polls each 3 s instead of 5 s.

--- a/registry/upstream.py
+++ b/registry/upstream.py
@@ -22,7 +22,7 @@
 
 INSTANCES_TARGET = "/registry/instances"
 LIFE_HEADER = "Registry-Life"  # epoch of the list; sequence numbers are compared within the same life
-POLL_WAIT = 5.0  # seconds of a long poll; until it ends, a hung service looks like an idle one
+POLL_WAIT = 3.0  # seconds of a long poll; until it ends, a hung service looks like an idle one
 ANSWER_TIMEOUT = 2.0  # seconds on top of the long poll
 CONNECT_TIMEOUT = 1.0  # seconds
 # Seconds for which a stored list is held back at a start: a gateway that starts with it waits for 4 s.
--- a/tests/test_registry_followers.py
+++ b/tests/test_registry_followers.py
@@ -22,6 +22,8 @@
     registration,
 )
 
+STALENESS_LIMIT = 6.0  # seconds after which a change counts as delivered
+
 
 class UnresponsiveService:
     """A service that accepts connections and never responds."""
@@ -199,6 +201,8 @@
 
     def __init__(self, service: str, delay: float) -> None:
         self.service, self.delay = service, delay
+        self.silent: set[asyncio.StreamReader] = set()  # what they receive from now on is dropped
+        self.open: set[asyncio.StreamReader] = set()
 
     async def __aenter__(self) -> SlowLink:
         self.server = await asyncio.start_server(self._relay, "127.0.0.1", 0)
@@ -214,9 +218,11 @@
 
     async def _copy(self, reader, writer, delay: float) -> None:
         with contextlib.suppress(ConnectionError):
+            self.open.add(reader)
             while data := await reader.read(65_536):
                 await asyncio.sleep(delay)
-                writer.write(data)
+                if reader not in self.silent:
+                    writer.write(data)
         writer.close()
 
     async def __aexit__(self, *error) -> None:
@@ -243,6 +249,21 @@
             assert [host["health"] for host in (await replica.list())["hosts"]] == ["DRAINING"]
 
 
+@asyncio_test
+async def test_an_agent_whose_connection_falls_silent_has_a_change_within_six_seconds(tmp_path):
+    """The long poll and its answer were waited for together for 7 s before the agent connected anew."""
+    async with Registry(tmp_path) as registry:
+        primary = await registry.node().start("--new")
+        put = await primary.put("s-1")
+        async with SlowLink(primary.listen, 0.0) as link:
+            agent = await agent_node(registry, link.address).start()
+            await agent.wait_for_list(lambda answer: host_names(answer) == {"s-1"})
+            link.silent |= link.open
+            await primary.post("s-1", "drain", put["version"])
+            async with asyncio.timeout(STALENESS_LIMIT):
+                await agent.wait_for_list(lambda answer: answer["hosts"][0]["health"] == "DRAINING")
+
+
 @asyncio_test
 async def test_agent_ignores_damaged_list_file(tmp_path):
     async with Registry(tmp_path) as registry:
