Send no attempt to the former address of a host whose move is read right before the send

If that list moves the host to another address, the attempt that had just been taken for a connection to the former one was sent there.

Evidence: the new test applies a move at that very moment; on the parent commit the former address got the command (1, 0), now the current one does (0, 1).

--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -335,7 +335,9 @@
             if attempt.send_by and self.hosts.driver.clock() >= attempt.send_by:
                 self.hosts.driver.attempt_ended(attempt, api.Outcome.NOT_CONNECTED)
             elif self.hosts.driver.is_wanted(attempt):
-                return attempt
+                if not self.retired:
+                    return attempt
+                self.hosts.driver.attempt_ended(attempt, api.Outcome.NOT_CONNECTED)
         return None
 
     def close_idle(self, cutoff: float, reason: CloseReason = CloseReason.IDLE) -> None:
--- a/tests/test_host_links.py
+++ b/tests/test_host_links.py
@@ -18,6 +18,7 @@
 from test_gateway import error_text
 
 from orchidlane import interface as api
+from saffrongw import driver as driver_module
 from saffrongw.hosts import CONNECTION_COOLDOWN, Stage
 
 ANSWER = b"*1\r\n$5\r\nfresh\r\n"
@@ -385,3 +386,29 @@
         assert all(connection.stage is Stage.IDLE for connection in pool.idle) and not pool.waiting
         pool.close_idle(float("inf"))
     assert gateway.hosts.connection_count == 0
+
+
+@asyncio_test
+async def test_an_attempt_is_not_sent_to_the_former_address_of_a_host_that_has_just_moved(monkeypatch):
+    """The list is read right before the attempt would be written on a connection to the former address."""
+    monkeypatch.setattr(driver_module, "LIST_READ_INTERVAL", 0)
+    former, current = await FakeHost("a").listen(), await FakeHost("a").listen()
+    gateway = LoopbackGateway(former)
+    pool = gateway.hosts.pools[b"a"]
+
+    def move_host_once_its_attempt_is_taken() -> None:
+        if gateway.driver.calls and pool.connected_once and not pool.retired:
+            gateway.apply_host_list(current.list_entry())
+
+    connected = pool.connected
+
+    def note_connected(connection) -> None:
+        pool.connected_once = True
+        connected(connection)
+
+    pool.connected_once, pool.connected = False, note_connected
+    gateway.driver.read_pending_list = move_host_once_its_attempt_is_taken
+    client = await gateway.connect_client()
+    client.send_request()
+    assert await client.wait_for_replies() == [b"ok"]
+    assert pool.retired and (len(former.commands), len(current.commands)) == (0, 1)
