Split the connection to a host and the two sides of a handover into modules of their own

Moved without change: host_connection.py (one connection and its attempt), handover_channel.py (messages between the two processes), handover_server.py (the predecessor's side). What stays: hosts.py (pools), upgrade.py (the successor's side). Only imports, module texts and _short_path's underscore differ.

--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -70,7 +70,7 @@
 
 
 class Successor(Protocol):
-    """The process that has taken over the state, as implemented in ``upgrade.py``."""
+    """The process that has taken over the state, as implemented in ``handover_server.py``."""
 
     def forward_request(self, call: Call) -> None:
         """Have the successor decide on a request; its answer comes back through ``answer_relayed``."""
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -1,36 +1,29 @@
-"""Connection pools to hosts: one attempt at a time on each connection, and the outcome of every attempt.
+"""Connection pools to hosts: which connection carries an attempt, and the outcome of every attempt.
 
-The outcome decides whether a request may be retried: an attempt that failed before its last byte was sent has
-not been executed (NOT_CONNECTED); one that failed later may have been (BROKEN). This module never retries.
+This module never retries: the decision module does, by the outcome.
 """
 
 from __future__ import annotations
 
 import asyncio
-import select
-import socket
 from collections import deque
-from enum import Enum, auto
 
 import hiredis
 
 from orchidlane import interface as api
 
-from .calls import Attempt, Sink
+from .calls import Attempt
 from .config import Address, HostList
 from .driver import Driver
+from .host_connection import Connection, Stage
 from .request_log import CloseReason
-from .resp import CRLF, VALUE_BYTES_MAX, LargeValue, Reader
 
-REPLY_BYTES_MAX = 2 * VALUE_BYTES_MAX  # of a response without a large value: metadata and a load report
-RECEIVE_BUFFER_BYTES = 256 * 1024  # SO_RCVBUF of a host's socket: bounds a chunk while the client is slow
 STREAM_IDLE_TIMEOUT = 10.0  # seconds without a byte after which a streamed response is given up
 IDLE_TIMEOUT_SHARE = 0.6  # of the hosts' idle timeout, so that no request meets a connection being closed
 SWEEPS_PER_IDLE_TIMEOUT = 10  # checks for idle or stalled connections in one such timeout
 # Seconds before a connection is reused after a response: a duplicate response may follow some milliseconds
 # later, and would be taken for the response to the next request.
 CONNECTION_COOLDOWN = 0.03
-MS = 1_000  # microseconds
 
 
 def parse_report(text: object, names: tuple[str, ...]) -> tuple[float, ...]:
@@ -44,207 +37,6 @@
         return ()
 
 
-def pack_request(attempt: Attempt, now: int) -> tuple[bytes, ...]:
-    """Return the client's command, with its timeout replaced by how long the gateway will wait."""
-    command, customer, request_id, terms_before, terms_after, *body = attempt.call.parts
-    timeout_ms = max(1, (attempt.expires_at - now) // MS)
-    terms = terms_before + b"%d" % timeout_ms + terms_after
-    values = command, customer, request_id, terms
-    if body and isinstance(body[0], tuple):  # the chunks of a large body are not joined: retries reuse them
-        packed = hiredis.pack_command(values).removeprefix(b"*%d" % len(values))
-        length = b"$%d\r\n" % sum(map(len, body[0]))
-        return b"*%d%b%b" % (len(values) + 1, packed, length), *body[0], CRLF
-    return (hiredis.pack_command((*values, *body)),)
-
-
-class Stage(Enum):
-    """State of a connection; it counts towards the connection limit until it is CLOSED."""
-
-    OPENING = auto()  # connecting, limited by the connect timeout
-    BUSY = auto()  # with an attempt, or the rest of a streamed response
-    IDLE = auto()
-    CLOSED = auto()
-
-
-class Connection(asyncio.Protocol):
-    """One connection to a host, with at most one attempt in flight."""
-
-    def __init__(self, pool: Pool) -> None:
-        self.pool, self.stage = pool, Stage.OPENING
-        self.transport: asyncio.Transport | None = None
-        self.reader = Reader(VALUE_BYTES_MAX, large_index=0)
-        self.attempt: Attempt | None = None
-        self.large: LargeValue | None = None  # the streamed value of the current response
-        self.sink: Sink | None = None  # where its chunks go
-        self.reply: object = False  # parsed response, a large value as its placeholder; False until complete
-        self.paused = False
-        self.last_received_at = 0.0  # when the last chunk of a streamed response was received
-        self.received = 0  # bytes of the response
-        self.idle_since = 0.0
-        # Not asyncio's timeout: with event loop lag it would close a connection that is established already.
-        self.timer = pool.hosts.loop.call_later(pool.hosts.connect_timeout, pool.connect_failed, self)
-        self.task = pool.hosts.loop.create_task(self._open())
-        pool.opening += 1
-        pool.hosts.connection_count += 1  # counted here: a burst opens many connections before any task runs
-
-    async def _open(self) -> None:
-        try:
-            await self.pool.hosts.loop.create_connection(lambda: self, *self.pool.address)
-        except OSError:  # refused or unreachable
-            self.pool.connect_failed(self)
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Set up the established connection and hand it to the pool.
-
-        With a high-water mark of 0, ``resume_writing`` is called when the last byte has left the process.
-        """
-        self.transport = transport
-        if self.stage is Stage.CLOSED:  # it was established just as it was given up
-            transport.abort()
-            return
-        self.timer.cancel()
-        transport.set_write_buffer_limits(high=0)
-        transport.get_extra_info("socket").setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
-        self.pool.connected(self)
-
-    def is_clean(self) -> bool:
-        """Return whether the socket has nothing to read: no close, no reset and no unrequested bytes."""
-        if self.transport.is_closing():
-            return False
-        poller = select.poll()
-        poller.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
-        return not poller.poll(0)
-
-    def start_attempt(self, attempt: Attempt, now: int) -> None:
-        """Write an attempt's request."""
-        self.attempt, attempt.carrier, self.received, self.large = attempt, self, 0, None
-        for chunk in pack_request(attempt, now):
-            self.transport.write(chunk)
-        attempt.fully_sent = not self.transport.get_write_buffer_size() and not self.transport.is_closing()
-
-    def pause_writing(self) -> None:
-        """Ignore that the send buffer is full: the connection carries no further request meanwhile."""
-
-    def resume_writing(self) -> None:
-        """Mark the attempt as fully sent: all data has been written to the socket."""
-        if self.attempt:
-            self.attempt.fully_sent = True
-
-    def data_received(self, data: bytes) -> None:
-        """Parse a response or a part of it, and report its attempt's outcome once it is complete."""
-        if self.stage is Stage.CLOSED:
-            return
-        hosts = self.pool.hosts
-        hosts.driver.stats["host_bytes_in"] += len(data)
-        if self.stage is Stage.IDLE:
-            hosts.driver.stats["host_unasked"] += 1
-            self.close(CloseReason.UNREQUESTED)  # for example a late duplicate response
-            return
-        self.received += len(data)
-        try:
-            self.reader.feed(data)
-            if self.reader.large_values:
-                self._stream()
-            if self.reply is False:
-                self.reply = self.reader.gets()
-            is_streaming = self.reader.streaming is not None and self.reader.streaming is self.large
-            reply = False if is_streaming else self.reply
-            malformed = reply is not False and (self.reader.has_data() or not self.reader.at_boundary)
-            if (
-                reply is False
-                and not is_streaming
-                and (self.reader.large_values or self.received > REPLY_BYTES_MAX)
-            ):
-                raise hiredis.ProtocolError("response too long, or a second large value")
-        except hiredis.ProtocolError:
-            reply, malformed = None, True
-        attempt = self.attempt
-        is_early = attempt is not None and not attempt.fully_sent
-        if reply is False and not is_early:
-            return
-        self.reply = False
-        sink = self.sink
-        # Ended only with the whole response, which may be cut off after the complete large value.
-        if sink and reply is not None:
-            self.sink = None
-            sink.end()
-        if malformed or is_early:  # requests and responses can no longer be matched
-            self.close(CloseReason.MALFORMED)
-        else:
-            self.attempt = None
-            hosts.streams.pop(self, None)
-            self.pool.release(self)
-        if attempt:
-            hosts.handle_reply(attempt, reply, malformed)
-
-    def _stream(self) -> None:
-        """Pass new chunks of a large value to the sink; the caller rejects a further large value."""
-        hosts, large, attempt = self.pool.hosts, self.reader.large_values[0], self.attempt
-        if self.large is None:
-            if attempt and attempt.fully_sent:
-                self.sink = hosts.driver.stream_started(attempt, large.length, self)
-            if self.sink is None:
-                raise hiredis.ProtocolError("unexpected large value")
-            self.attempt, hosts.streams[self], self.large = None, None, large
-        if large is not self.large:
-            return
-        self.last_received_at = hosts.loop.time()
-        for chunk in large.take_chunks():
-            self.sink.write(chunk)
-        if not large.bytes_left:
-            self.reader.large_values.popleft()
-            self.received = 0
-
-    def pause(self) -> None:
-        """Apply backpressure to the host, as the client is reading slowly."""
-        if not self.paused and not self.transport.is_closing():
-            self.paused = True
-            self.transport.pause_reading()
-
-    def resume(self) -> None:
-        """Read from the host again."""
-        if self.paused and not self.transport.is_closing():
-            self.paused, self.last_received_at = False, self.pool.hosts.loop.time()
-            self.transport.resume_reading()
-
-    def connection_lost(self, error: Exception | None) -> None:
-        """Report the outcome of the attempt in flight after the host or the network closed the connection."""
-        attempt = self.attempt
-        self.close(CloseReason.PEER)
-        if attempt:
-            # The host may have executed the request before the reset, unless its last byte was never sent.
-            outcome = api.Outcome.BROKEN if attempt.fully_sent else api.Outcome.NOT_CONNECTED
-            self.pool.hosts.driver.attempt_ended(attempt, outcome)
-
-    def abort(self) -> None:
-        """Close, as nobody wants the rest of a streamed response."""
-        self.close(CloseReason.ABANDONED)
-
-    def close(self, reason: CloseReason) -> None:
-        """Close in any stage; the caller reports the outcome of the attempt in flight, if there is one."""
-        if self.stage is Stage.CLOSED:
-            return
-        if self.stage is Stage.IDLE:
-            self.pool.idle.remove(self)
-        self.pool.opening -= self.stage is Stage.OPENING
-        self.stage, self.attempt = Stage.CLOSED, None
-        self.pool.hosts.connection_count -= 1
-        if request_log := self.pool.hosts.driver.request_log:
-            request_log.connection_closed("host", self.pool.address, reason)
-        self.timer.cancel()
-        if self.transport:
-            self.transport.abort()
-        else:
-            self.task.cancel()
-        # A partially delivered response cannot be taken back.
-        self.pool.hosts.streams.pop(self, None)
-        sink, self.sink = self.sink, None
-        if sink:
-            sink.fail()
-
-
 class Pool:
     """Connections to one host, used last in, first out, so that surplus ones reach the idle timeout."""
 
--- a/saffrongw/process.py
+++ b/saffrongw/process.py
@@ -21,6 +21,8 @@
 from .control import Control
 from .discovery import Watch, first_request_spread, retry_interval_max
 from .driver import Driver
+from .handover_channel import handover_socket_path
+from .handover_server import HandoverServer
 from .hosts import Hosts
 from .peers import Peers
 from .request_log import LEVEL as REQUEST_LOG_LEVEL
@@ -87,7 +89,7 @@
         """Start, serve until stopped, and shut down; raise StartupError if the gateway cannot start."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop.set)
-        socket_path = upgrade.handover_socket_path(self.config)
+        socket_path = handover_socket_path(self.config)
         predecessor = upgrade.connect_to_predecessor(socket_path, self.config)
         try:
             self.driver.start(self.config.known)
@@ -188,7 +190,7 @@
             predecessor.on_connection_counts = functools.partial(self._update_descriptor_limits, predecessor)
             predecessor.start_receiving(self.control.execute_locally)
         self.control.predecessor = predecessor
-        self.control.handover_server = upgrade.HandoverServer(
+        self.control.handover_server = HandoverServer(
             driver, self.clients, self.peers, self.control.execute_locally, self.stop
         )
         self.control.handover_server.listen(socket_path)
--- a/tests/test_host_links.py
+++ b/tests/test_host_links.py
@@ -19,7 +19,8 @@
 
 from orchidlane import interface as api
 from saffrongw import driver as driver_module
-from saffrongw.hosts import CONNECTION_COOLDOWN, Stage
+from saffrongw.host_connection import Stage
+from saffrongw.hosts import CONNECTION_COOLDOWN
 
 ANSWER = b"*1\r\n$5\r\nfresh\r\n"
 STALE = b"*1\r\n$5\r\nstale\r\n"
--- a/tests/test_request_completion.py
+++ b/tests/test_request_completion.py
@@ -23,7 +23,8 @@
 from saffrongw.client import Client
 from saffrongw.clients import Clients
 from saffrongw.driver import Driver
-from saffrongw.hosts import Connection, Hosts, Stage
+from saffrongw.host_connection import Connection, Stage
+from saffrongw.hosts import Hosts
 
 EVENTS_PER_SEED = 400
 LOOP_LAG_MAX = 0.2  # seconds
