--- a/tests/test_drain_notification.py
+++ b/tests/test_drain_notification.py
@@ -222,8 +222,9 @@
         agent.server.close()
         agent.address = ("127.0.0.1", 0)
         await agent.listen()
-        file = gateway.folder / "config0.json"
-        file.write_text(json.dumps(json.loads(file.read_text()) | {"discovery": agent.address_text}))
+        gateway.configuration["discovery"] = agent.address_text
+        file = gateway.folder / f"config{len(gateway.processes) - 1}.json"
+        file.write_text(json.dumps(gateway.configuration))
         gateway.processes[-1].send_signal(signal.SIGHUP)
 
 
