--- a/tests/discovery_agent.py
+++ b/tests/discovery_agent.py
@@ -49,6 +49,7 @@
     published_at: dict[str, float] = field(default_factory=dict)  # loop time of each host's last change
     whole_since: int = 0  # requests with an older version are answered with the whole list
     answer_delay: float = 0.0  # seconds before each answer
+    next_answer_delay: float = 0.0  # seconds before the next answer alone
     silent: bool = False  # accepts connections and requests, and answers none
     faults: deque[str] = field(default_factory=deque)  # of FAULTS: one for each of the next requests
     faults_over: asyncio.Event = field(default_factory=asyncio.Event)  # set with the last one
@@ -130,7 +131,8 @@
 
     async def _answer(self, target: str) -> dict:
         since = re.search(r"index=(\d+)&wait=(\d+)", target)
-        await asyncio.sleep(self.answer_delay)
+        delay, self.next_answer_delay = self.answer_delay + self.next_answer_delay, 0.0
+        await asyncio.sleep(delay)
         async with self.changed:
             if since:
                 with contextlib.suppress(TimeoutError):
--- a/tests/test_drain_soak.py
+++ b/tests/test_drain_soak.py
@@ -22,6 +22,7 @@
 HOLD_UP = 0.15  # seconds for which the process may stand still between reading its clock and writing
 FAULTS_IN_SERIES_MAX = 8
 REQUESTS_PER_ROUND = 60
+FIRST_ANSWER_DELAY_MAX = 0.5  # seconds
 
 
 @dataclass
@@ -49,28 +50,56 @@
         ]
 
 
-async def restart(gateway: GatewayProcesses, agent: Agent) -> None:
-    gateway.processes[-1].kill()
-    await gateway.processes[-1].wait()
-    await gateway.start(ready=False)
+@dataclass
+class World:
+    """What a trouble may act on."""
+
+    gateway: GatewayProcesses
+    agent: Agent
+    hosts: list[TimedHost]
+    rng: random.Random
+    outages: Outages
+
 
+async def restart(world: World) -> None:
+    """Kill the process, change the list while it is gone, and start it on a slow machine."""
+    world.gateway.processes[-1].kill()
+    await world.gateway.processes[-1].wait()
+    await change_list(world)
+    world.agent.next_answer_delay = world.rng.random() * FIRST_ANSWER_DELAY_MAX
+    await world.gateway.start(ready=False)
 
-async def hold_up(gateway: GatewayProcesses, agent: Agent) -> None:
-    process = gateway.processes[-1]
+
+async def hold_up(world: World) -> None:
+    process = world.gateway.processes[-1]
     process.send_signal(signal.SIGSTOP)
     asyncio.get_running_loop().call_later(HOLD_UP, process.send_signal, signal.SIGCONT)
 
 
-async def fail_discovery(gateway: GatewayProcesses, agent: Agent, rng: random.Random) -> None:
+async def fail_discovery(world: World) -> None:
+    agent = world.agent
     agent.faults_over.clear()
-    agent.faults.extend(rng.choices(list(FAULTS), k=rng.randint(1, FAULTS_IN_SERIES_MAX)))
+    agent.faults.extend(world.rng.choices(list(FAULTS), k=world.rng.randint(1, FAULTS_IN_SERIES_MAX)))
     agent.reset_connections()
     await asyncio.wait_for(agent.faults_over.wait(), 30)
 
 
-async def change_list(rng: random.Random, agent: Agent, hosts: list[TimedHost], outages: Outages) -> None:
+async def interrupt(world: World) -> None:
+    await interrupt_discovery(world.gateway, world.agent)
+
+
+async def move(world: World) -> None:
+    await move_discovery(world.gateway, world.agent)
+
+
+async def reset(world: World) -> None:
+    await reset_watch(world.gateway, world.agent)
+
+
+async def change_list(world: World) -> None:
     """Take hosts off the list, or put them back, so that at least one stays on it."""
-    for host in rng.sample(hosts, rng.randint(1, 2)):
+    rng, agent, outages = world.rng, world.agent, world.outages
+    for host in rng.sample(world.hosts, rng.randint(1, 2)):
         if host in outages.open:
             outages.end(host)
             await agent.publish(host)
@@ -88,22 +117,21 @@
     rng, outages = random.Random(seed), Outages()
     hosts = [await TimedHost(f"h{number}").listen() for number in range(HOSTS)]
     agent = await Agent().listen(*hosts)
-    troubles = (restart, hold_up, reset_watch, move_discovery, interrupt_discovery, fail_discovery)
+    troubles = (restart, hold_up, reset, move, interrupt, fail_discovery)
     async with (
         GatewayProcesses(tmp_path, *hosts, discovery=agent.address_text) as gateway,
         Load(gateway) as load,
         Load(gateway),
     ):
         await gateway.start(ready=False)
+        world = World(gateway, agent, hosts, rng, outages)
         await until(lambda: load.served)
         for _ in range(ROUNDS):
             trouble = rng.choice(troubles)
             outages.troubles.append(trouble.__name__)
-            if trouble is fail_discovery:
-                await trouble(gateway, agent, rng)
-            else:
-                await trouble(gateway, agent)
-            await change_list(rng, agent, hosts, outages)
+            await trouble(world)
+            if trouble is not restart:
+                await change_list(world)
             served = load.served
             await until(lambda served=served: load.served >= served + REQUESTS_PER_ROUND, timeout=20)
             assert outages.late_commands() == [], (seed, outages.troubles)
