--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -30,9 +30,7 @@
 CONNECT_TIMEOUT = 1.0
 SYNCHRONIZING_WAIT = 0.001  # of the long poll that only asks whether the configured list is still current
 LONG_POLL_WAIT = 2.0  # until it is over, a hung discovery agent can't be told from one without changes
-RESPONSE_TIMEOUT = (
-    1.0  # added to the long-poll wait; after it the watch reconnects. Doubled with each timeout
-)
+RESPONSE_TIMEOUT = 1.0  # added to the long-poll wait; after it the watch reconnects
 BACKOFF_MIN, BACKOFF_MAX = 0.05, 1.0  # before reconnecting, doubled with each failure
 # Where an agent on this machine has lists pushed to it: what it has counts as delivered at once, so that no
 # request may be out only for a part of the drain grace.
