Wait no longer than usual for the first answer of a discovery that was moved

Found by rereading: after timeouts at the former address, the first request at a new one was waited for up to 4 s before the next, though what the new one has counts 4 s after SIGHUP. The property test of the watch asserts it now and fails without the line.

--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -238,6 +238,7 @@
         self.address = address
         self.version = None
         self.backoff = BACKOFF_MIN
+        self.patience = self.response_timeout
         self.refused_interval = 0.0
         self.start()
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -187,7 +187,10 @@
                 due = min(timer.when for timer in loop.pending())
                 loop.now += rng.random() * (due - loop.now)
             elif event == "move":
-                loop.watch.set_address(("host", rng.randrange(3)))
+                address = ("host", rng.randrange(3))
+                is_new = address != loop.watch.address
+                loop.watch.set_address(address)
+                assert not is_new or loop.watch.patience == loop.watch.response_timeout
             elif live:
                 connection = rng.choice(live)
                 if event == "up" and connection.transport is None:
