--- a/tests/discovery_agent.py
+++ b/tests/discovery_agent.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from conftest import FakeClient, FakeHost, GatewayProcesses
+from conftest import FakeClient, FakeHost, GatewayProcesses, until
 
 from saffrongw.config import address
 
@@ -189,6 +189,11 @@
         """Return the number of requests that were served."""
         return sum(reply == b"ok" for client in self.clients for reply in client.replies)
 
+    async def wait_for_served(self, count: int, timeout: float = 20.0) -> None:
+        """Wait until that many more requests are served."""
+        target = self.served + count
+        await until(lambda: self.served >= target, timeout)
+
     async def __aenter__(self) -> Load:
         return self
 
--- a/tests/test_drain_notification.py
+++ b/tests/test_drain_notification.py
@@ -6,8 +6,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import signal
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from pathlib import Path
 
 import pytest
 from conftest import GatewayProcesses, asyncio_test, until
@@ -20,23 +24,49 @@
 PAUSE = 0.5  # seconds for which a process stands still: longer than a drain's grace
 
 
+@dataclass
+class Setup:
+    """A gateway process that serves a load from two hosts, of which one is to be drained."""
+
+    gateway: GatewayProcesses
+    agent: Agent
+    drained: TimedHost
+    ready: TimedHost
+    load: Load
+
+    def late_commands(self) -> list[float]:
+        """Return the times since the drained host's last change of the commands that came too late."""
+        return self.drained.commands_after(self.agent.published_at["a"])
+
+
+@contextlib.asynccontextmanager
+async def serving(folder: Path, loads: int = 1) -> AsyncIterator[Setup]:
+    """Start a gateway, its agent, two hosts and some loads; both hosts have got requests."""
+    drained, ready = await TimedHost("a").listen(), await TimedHost("b").listen()
+    agent = await Agent().listen(drained, ready)
+    async with contextlib.AsyncExitStack() as stack:
+        gateway = await stack.enter_async_context(
+            GatewayProcesses(folder, drained, ready, discovery=agent.address_text)
+        )
+        load, *_ = [await stack.enter_async_context(Load(gateway)) for _ in range(loads)]
+        await gateway.start()
+        await until(lambda: drained.times and ready.times)
+        yield Setup(gateway, agent, drained, ready, load)
+
+
 @asyncio_test
 async def test_a_restarted_gateway_sends_nothing_to_a_host_that_drained_meanwhile(tmp_path):
     """Report deee0d: it served from the list in its configuration until discovery's first answer."""
-    drained, ready = await TimedHost("a").listen(), await TimedHost("b").listen()
-    agent = await Agent().listen(drained, ready)
-    async with GatewayProcesses(tmp_path, drained, ready, discovery=agent.address_text) as gateway:
-        killed = await gateway.start()
-        async with Load(gateway) as load:
-            await until(lambda: drained.times and ready.times)
-            killed.kill()
-            await killed.wait()
-            await agent.publish(drained, health="DRAINING")
-            agent.answer_delay = 0.5
-            served, started_at = load.served, asyncio.get_running_loop().time()
-            await gateway.start(ready=False)
-            await until(lambda: load.served >= served + 200)
-    assert drained.commands_after(started_at) == []
+    async with serving(tmp_path) as setup:
+        killed = setup.gateway.processes[-1]
+        killed.kill()
+        await killed.wait()
+        await setup.agent.publish(setup.drained, health="DRAINING")
+        setup.agent.answer_delay = 0.5
+        started_at = asyncio.get_running_loop().time()
+        await setup.gateway.start(ready=False)
+        await setup.load.wait_for_served(200)
+    assert setup.drained.commands_after(started_at) == []
 
 
 @pytest.mark.parametrize("discovery", ["pushed", "on_request"])
@@ -84,73 +114,49 @@
 @asyncio_test
 async def test_a_drain_is_noticed_at_once_when_discovery_recovers_from_a_series_of_faults(tmp_path, fault):
     """The delay before the next request grew to 1 s, 4 s after refusals, also where an agent pushes lists."""
-    drained, ready = await TimedHost("a").listen(), await TimedHost("b").listen()
-    agent = await Agent().listen(drained, ready)
-    async with (
-        GatewayProcesses(tmp_path, drained, ready, discovery=agent.address_text) as gateway,
-        Load(gateway) as load,
-    ):
-        await gateway.start(ready=False)
-        await until(lambda: drained.times and ready.times)
-        agent.faults.extend([fault] * FAULTS_IN_SERIES)
-        agent.reset_connections()
-        await asyncio.wait_for(agent.faults_over.wait(), 60)
-        await agent.publish(drained, health="DRAINING")
-        served = load.served
-        await until(lambda: load.served >= served + 200)
-    assert drained.commands_after(agent.published_at["a"]) == []
+    async with serving(tmp_path) as setup:
+        setup.agent.faults.extend([fault] * FAULTS_IN_SERIES)
+        setup.agent.reset_connections()
+        await asyncio.wait_for(setup.agent.faults_over.wait(), 60)
+        await setup.agent.publish(setup.drained, health="DRAINING")
+        await setup.load.wait_for_served(200)
+    assert setup.late_commands() == []
 
 
 @pytest.mark.parametrize("change", ["drain", "ban"])
 @asyncio_test
 async def test_requests_that_waited_for_a_handover_do_not_go_to_a_host_taken_out_meanwhile(tmp_path, change):
     """While decisions are frozen, requests and lists are queued: requests were decided on the older list."""
-    stopped, ready = await TimedHost("a").listen(), await TimedHost("b").listen()
-    agent = await Agent().listen(stopped, ready)
-    async with (
-        GatewayProcesses(tmp_path, stopped, ready, discovery=agent.address_text) as gateway,
-        Load(gateway) as load,
-    ):
-        await gateway.start()
-        await until(lambda: stopped.times and ready.times)
-        sock = await asyncio.to_thread(connect_as_successor, gateway)
+    async with serving(tmp_path) as setup:
+        sock = await asyncio.to_thread(connect_as_successor, setup.gateway)
         sock.sendall(b'{"take": true}\n')
         await asyncio.to_thread(receive_until, sock, b'{"end": true}')
-        sent = load.sent
-        await until(lambda: load.sent >= sent + 50)
+        sent = setup.load.sent
+        await until(lambda: setup.load.sent >= sent + 50)
         if change == "drain":
-            await agent.publish(stopped, health="DRAINING")
+            await setup.agent.publish(setup.drained, health="DRAINING")
         else:
-            assert (await gateway.send_control_call(b"OFFLINE a")).startswith("done")
-        notified_at, served = asyncio.get_running_loop().time(), load.served
-        await until(lambda: load.served >= served + 200)
+            assert (await setup.gateway.send_control_call(b"OFFLINE a")).startswith("done")
+        notified_at = asyncio.get_running_loop().time()
+        await setup.load.wait_for_served(200)
         sock.close()
-    assert stopped.commands_after(notified_at) == []
+    assert setup.drained.commands_after(notified_at) == []
 
 
 @pytest.mark.parametrize("number", range(4))
 @asyncio_test
 async def test_after_a_pause_requests_are_decided_on_the_list_that_came_with_them(tmp_path, number):
     """Requests that were read before the list, in one turn of the event loop, went to the drained host."""
-    drained, ready = await TimedHost("a").listen(), await TimedHost("b").listen()
-    agent = await Agent().listen(drained, ready)
-    async with (
-        GatewayProcesses(tmp_path, drained, ready, discovery=agent.address_text) as gateway,
-        Load(gateway) as load,
-        Load(gateway),
-        Load(gateway),
-    ):
-        process = await gateway.start()
-        await until(lambda: drained.times and ready.times)
+    async with serving(tmp_path, loads=3) as setup:
+        process = setup.gateway.processes[-1]
         process.send_signal(signal.SIGSTOP)
-        sent = load.sent
-        await until(lambda: load.sent >= sent + 20)
-        await agent.publish(drained, health="DRAINING")
+        sent = setup.load.sent
+        await until(lambda: setup.load.sent >= sent + 20)
+        await setup.agent.publish(setup.drained, health="DRAINING")
         await asyncio.sleep(PAUSE)
-        served = load.served
         process.send_signal(signal.SIGCONT)
-        await until(lambda: load.served >= served + 100)
-    assert drained.commands_after(agent.published_at["a"]) == []
+        await setup.load.wait_for_served(100)
+    assert setup.late_commands() == []
 
 
 def malformed(entry: dict) -> dict:
@@ -165,18 +171,10 @@
 @asyncio_test
 async def test_a_drain_in_a_malformed_entry_takes_the_host_out(tmp_path, spoil):
     """The entry was left out, and the change was never asked for again: the host stayed in use for good."""
-    drained, ready = await TimedHost("a").listen(), await TimedHost("b").listen()
-    agent = await Agent().listen(drained, ready)
-    async with (
-        GatewayProcesses(tmp_path, drained, ready, discovery=agent.address_text) as gateway,
-        Load(gateway) as load,
-    ):
-        await gateway.start()
-        await until(lambda: drained.times and ready.times)
-        await agent.publish(drained, spoil=spoil, health="DRAINING")
-        served = load.served
-        await until(lambda: load.served >= served + 200)
-    assert drained.commands_after(agent.published_at["a"]) == []
+    async with serving(tmp_path) as setup:
+        await setup.agent.publish(setup.drained, spoil=spoil, health="DRAINING")
+        await setup.load.wait_for_served(200)
+    assert setup.late_commands() == []
 
 
 @asyncio_test
@@ -247,22 +245,14 @@
 @pytest.mark.parametrize("trouble", TROUBLES)
 @asyncio_test
 async def test_a_host_taken_off_the_list_right_after_a_trouble_gets_nothing_new(tmp_path, trouble, change):
-    drained, ready = await TimedHost("a").listen(), await TimedHost("b").listen()
-    agent = await Agent().listen(drained, ready)
-    async with (
-        GatewayProcesses(tmp_path, drained, ready, discovery=agent.address_text) as gateway,
-        Load(gateway) as load,
-        Load(gateway),
-    ):
-        await gateway.start()
-        await until(lambda: drained.times and ready.times)
-        await trouble(gateway, agent)
+    async with serving(tmp_path, loads=2) as setup:
+        await trouble(setup.gateway, setup.agent)
         if change == "left out":
-            await agent.leave_out(drained)
+            await setup.agent.leave_out(setup.drained)
         else:
-            await agent.publish(drained, health={"draining": "DRAINING", "deleted": "DELETED"}[change])
-        served = load.served
-        process = gateway.processes[-1]
-        await until(lambda: load.served >= served + 100 or process.returncode is not None)
-    assert drained.commands_after(agent.published_at["a"]) == []
-    assert ready.commands_after(agent.published_at["a"]) != []
+            health = {"draining": "DRAINING", "deleted": "DELETED"}[change]
+            await setup.agent.publish(setup.drained, health=health)
+        process, served = setup.gateway.processes[-1], setup.load.served
+        await until(lambda: setup.load.served >= served + 100 or process.returncode is not None)
+    assert setup.late_commands() == []
+    assert setup.ready.commands_after(setup.agent.published_at["a"]) != []
--- a/tests/test_drain_soak.py
+++ b/tests/test_drain_soak.py
@@ -132,6 +132,5 @@
             await trouble(world)
             if trouble is not restart:
                 await change_list(world)
-            served = load.served
-            await until(lambda served=served: load.served >= served + REQUESTS_PER_ROUND, timeout=20)
+            await load.wait_for_served(REQUESTS_PER_ROUND)
             assert outages.late_commands() == [], (seed, outages.troubles)
