Log a failing discovery once until it answers

Change: discovery_refused, discovery_failed and discovery_closed are told once until discovery has answered. discovery_unreachable was already; discovery_silent comes once a second at most and stays.

--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -9,6 +9,7 @@
 import json
 import os
 from collections.abc import Callable
+from enum import Enum, auto
 
 import h11
 
@@ -55,6 +56,14 @@
 )
 
 
+class Failure(Enum):
+    """Failures of an attempt that are logged once until discovery answers again."""
+
+    REFUSED = auto()
+    CLOSED = auto()
+    MALFORMED = auto()
+
+
 def first_request_spread(gateways: int, on_request: bool) -> float:
     """Return the seconds over which a fleet spreads its first requests.
 
@@ -154,7 +163,8 @@
         if keep_alive:
             self.http.start_next_cycle()
         if host_list is None:
-            log.warning("discovery_refused", status=self.status, address=self.watch.address)
+            if self.watch.is_new_failure(Failure.REFUSED):
+                log.warning("discovery_refused", status=self.status, address=self.watch.address)
             self.watch.refused(keep_alive)
         else:
             self.watch.answered(host_list, keep_alive)
@@ -210,6 +220,7 @@
         self.synchronized = asyncio.Event()  # set once the list held is as recent as discovery's was
         self.connection: DiscoveryConnection | None = None
         self.last_connect_succeeded: bool | None = None  # None: no attempt yet
+        self.logged_failures: set[Failure] = set()  # since the last answer
         self.timer: asyncio.TimerHandle | None = None
 
     def read_pending(self) -> None:
@@ -270,6 +281,12 @@
             max(BACKOFF_MIN, self.next_attempt_due - self.loop.time()),
         )
 
+    def is_new_failure(self, failure: Failure) -> bool:
+        """Return whether to log a failure: once until discovery answers, as attempts may follow quickly."""
+        is_new = failure not in self.logged_failures
+        self.logged_failures.add(failure)
+        return is_new
+
     # -- events ---------------------------------------------------------------------------------------------
 
     def _connect_timed_out(self) -> None:
@@ -338,6 +355,7 @@
         """
         self.backoff = BACKOFF_MIN
         self.patience = self.response_timeout
+        self.logged_failures.clear()
         if self.refused_interval > REFUSED_INTERVAL_MIN:
             self.refused_interval *= REFUSED_INTERVAL_DECAY
         else:
@@ -361,14 +379,16 @@
     def response_failed(self, connection: DiscoveryConnection, error: Exception) -> None:
         """Request the whole list after a malformed response, as the current one may be out of date."""
         if connection is self.connection:
-            log.warning("discovery_failed", error=error, address=self.address)
+            if self.is_new_failure(Failure.MALFORMED):
+                log.warning("discovery_failed", error=error, address=self.address)
             self.version = None
             self._reconnect_later()
 
     def connection_closed(self, connection: DiscoveryConnection) -> None:
         """Reconnect after the backoff, as the connection was closed."""
         if connection is self.connection:
-            log.info("discovery_closed", address=self.address, version=self.version)
+            if self.is_new_failure(Failure.CLOSED):
+                log.info("discovery_closed", address=self.address, version=self.version)
             self._reconnect_later()
 
     def _response_timed_out(self) -> None:
--- a/tests/test_drain_notification.py
+++ b/tests/test_drain_notification.py
@@ -112,7 +112,9 @@
 
 @pytest.mark.parametrize("fault", FAULTS)
 @asyncio_test
-async def test_a_drain_is_noticed_at_once_when_discovery_recovers_from_a_series_of_faults(tmp_path, fault):
+async def test_a_drain_is_noticed_at_once_when_discovery_recovers_from_a_series_of_faults(
+    tmp_path, fault, capfd
+):
     """The delay before the next request grew to 1 s, 4 s after refusals, also where an agent pushes lists."""
     async with serving(tmp_path) as setup:
         setup.agent.faults.extend([fault] * FAULTS_IN_SERIES)
@@ -121,6 +123,8 @@
         await setup.agent.publish(setup.drained, health="DRAINING")
         await setup.load.wait_for_served(200)
     assert setup.late_commands() == []
+    log = capfd.readouterr().err
+    assert sum(log.count(f"event=discovery_{name} ") for name in ("refused", "failed", "closed")) <= 2
 
 
 @pytest.mark.parametrize("change", ["drain", "ban"])
