Test that waiting and trial requests go to no server that was taken out meanwhile

A request that waits for its owner's answer, resumed by the answer or by the timeout, with three of four servers draining or gone meanwhile; a reinstated server that discovery takes out.

--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -117,6 +117,17 @@
     assert SERVER_1 in servers_used(harness, 10, 1)
 
 
+@pytest.mark.parametrize("phase", [api.Phase.DRAINING, api.Phase.GONE])
+def test_a_reinstated_server_that_discovery_takes_out_gets_no_trial_request(phase):
+    harness = GatewayHarness(servers=0)
+    harness.feed(listed(entry(1), entry(2)))
+    ban(harness)
+    ban(harness, is_banned=False)
+    assert SERVER_1 in harness.gateway.reinstated
+    harness.feed(listed(entry(1, phase), kind=api.ListKind.CHANGES))
+    assert servers_used(harness, 1) == {SERVER_2}
+
+
 def test_remembered_server_names_are_limited_and_those_in_use_are_kept(monkeypatch):
     monkeypatch.setattr(state, "NAMES_MAX", 8)
     harness = GatewayHarness(servers=0)
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -444,6 +444,21 @@
     assert waited
 
 
+@pytest.mark.parametrize("phase", [api.Phase.DRAINING, api.Phase.GONE])
+@pytest.mark.parametrize("resumed_by", ["answer", "timeout"])
+def test_a_request_that_waited_for_the_owner_goes_to_no_server_taken_out_meanwhile(resumed_by, phase):
+    for kept in range(4):
+        harness = GatewayHarness(gateways=60)
+        (query,) = of_type(harness.send_request(1, set_size=50), api.SendPeerMessage)
+        taken_out = [entry(number, phase) for number in range(4) if number != kept]
+        harness.feed(listed(*taken_out, kind=api.ListKind.CHANGES))
+        if resumed_by == "answer":
+            deliver(harness, query.peer, customer_row([], set_size=50))
+        else:
+            harness.run(300_000)
+        assert [send.server for send in of_type(harness.log, api.Send)] == [entry(kept).server]
+
+
 def test_only_a_valid_answer_of_the_owner_releases_a_waiting_request():
     harness = GatewayHarness(gateways=60)
     (query,) = of_type(harness.send_request(1, set_size=50), api.SendPeerMessage)
