--- a/tests/test_host_links.py
+++ b/tests/test_host_links.py
@@ -228,6 +228,10 @@
         gate.open(),
         gateway.apply_host_list(host.list_entry("DELETED")),
     ),
+    "draining while it opens": lambda gateway, host, gate: (
+        gateway.apply_host_list(host.list_entry("DRAINING")),
+        gate.open(),
+    ),
     "moved while it opens": lambda gateway, host, gate: (
         gateway.apply_host_list(host.list_entry(dial="127.0.0.1:1")),
         gate.open(),
