--- a/review/standins.py
+++ b/review/standins.py
@@ -252,6 +252,7 @@
 
     def __init__(self, bench: Bench) -> None:
         self.bench, self.port, self.seq = bench, 0, 41
+        self.silent = False  # it is down: nothing is answered until it is back
         self.changes: list[tuple[int, dict[str, object]]] = []
         self.news = asyncio.Condition()
         self.server: asyncio.Server | None = None
@@ -291,6 +292,8 @@
                     answer = {"seq": self.seq, "whole": False, "hosts": entries}
                 else:
                     answer = self.whole()
+                while self.silent:
+                    await asyncio.sleep(0.05)
                 body = json.dumps(answer).encode()
                 writer.write(
                     b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
