Bound the work that clients' input makes in one turn of the event loop

Cause: `Reader.feed` checked every header of a received piece, 4 to 5 us each, before anything else ran; a piece had 256 KB, and the event loop reads up to 32 full pieces of one connection in a row while a full one comes each time, so some 8 MB of one peer were one turn. The limit of 64 commands a tick came after that. hiredis was fed as bytes came and kept an object of 120 bytes for 3 bytes.

Change: the reader checks headers when it is asked for a value, up to a number of them, and passes a value to hiredis once all of its bytes are there, so that an unfinished one costs its bytes alone. `InputScheduler` gives each client a portion of work and all together a bound for a turn; who needs more waits in a queue, unread, in which all take turns. One read takes 16 KiB, and 1 KiB while clients hold over 1 MiB together; what waits is counted (`client_unfinished_bytes`). A command of more than 64 values ends its connection with an error line, as it can't be one of ours. What is held for a connection is dropped with its error. A host's reply may have 1,024 values in all. `loop_lag_ms` in `stats` tells when something holds the loop up, `client_input_queued` who waits.

Why it works: a turn's work is a constant, however many bytes of how many clients wait, and a sound client waits for one portion of each of the others at most.

--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -14,6 +14,7 @@
 import hiredis
 
 from .calls import Body, Terms
+from .input_scheduler import PORTION_UNITS
 from .request_log import CloseReason
 from .requests import BODY_INDEX, MalformedRequest, parse
 from .resp import PLACEHOLDER, VALUE_BYTES_MAX, LargeValue, Reader
@@ -27,7 +28,8 @@
 COMMAND_BYTES_MAX = 2 * VALUE_BYTES_MAX  # buffered for one unfinished command: a body and little else
 COMMAND_BYTES_MAX_ALL = 64 * VALUE_BYTES_MAX  # buffered for the unfinished commands of all clients
 PIPELINE_MAX = 64  # commands in flight on one connection; reading pauses while there are so many
-COMMANDS_PER_TICK = 64  # commands executed for one client before the event loop serves others
+COMMAND_VALUES_MAX = 64  # values of one command, of which a proper one has five at most
+COMMAND_UNITS = 32  # work of executing a command, in the units of the input scheduler
 SURPLUS_CONNECTIONS_MAX = 16  # connections beyond the limit that get an error response; more are reset
 RECEIVE_BUFFER_BYTES = 256 * 1024  # SO_RCVBUF of a client's socket
 
@@ -46,15 +48,18 @@
     HALF_CLOSED = auto()  # FIN is sent; input is discarded until the client closes as well
 
 
-class Client(asyncio.Protocol):
+class Client(asyncio.BufferedProtocol):
     """One client connection."""
 
     def __init__(self, clients: Clients) -> None:
         self.clients = clients
-        self.reader = Reader(COMMAND_BYTES_MAX, large_index=BODY_INDEX, large_must_be_last=True)
+        self.reader = Reader(
+            COMMAND_BYTES_MAX, COMMAND_VALUES_MAX, large_index=BODY_INDEX, large_must_be_last=True
+        )
         self.upload: Upload | None = None
         self.slots: deque[Slot] = deque()
-        self.unfinished_bytes = 0  # received since the last complete command
+        self.held_bytes = 0  # received bytes that are held for unfinished or waiting commands
+        self.input_queued = False  # the scheduler processes the input, now or in its turn
         self.stage = Stage.OPEN
         self.is_surplus = False  # it was accepted beyond the connection limit
         # Loop time since when the first command or the rest of one is awaited; 0: none is.
@@ -111,9 +116,9 @@
             self.transport.pause_reading()
 
     def _continue(self) -> None:
+        """Process the input that was held while reading was paused, then read again."""
         if self.reading_paused and not self._must_pause_reading():
-            self._resume_reading()
-            self._process_commands()
+            self.clients.scheduler.submit(self)
 
     def _resume_reading(self) -> None:
         if self.reading_paused and not self.transport.is_closing():
@@ -133,56 +138,95 @@
         """Return whether received commands are executed; those of a client that has disconnected are not."""
         return self.stage is Stage.OPEN and not self.transport.is_closing()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next bytes, whose size bounds what one read takes."""
+        return self.clients.receive_buffer()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take received bytes out of the shared buffer."""
+        self.data_received(bytes(self.clients.shared_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
-        """Buffer input and execute the commands that are complete."""
+        """Hold input until its commands are executed: at once or, after much other input, in its turn."""
         if self.stage is not Stage.OPEN:
             self.clients.driver.stats["client_read_away"] += len(data)
             return
-        streamed_before = self.reader.bytes_streamed
         self.clients.driver.stats["client_bytes_in"] += len(data)
         self.reader.feed(data)
-        self.unfinished_bytes += len(data) - (self.reader.bytes_streamed - streamed_before)
-        self._process_commands()
+        self._count_held_bytes()
+        self.clients.scheduler.submit(self)
+        if self.input_queued:
+            self._pause_reading()
+
+    def _count_held_bytes(self) -> None:
+        held_before, self.held_bytes = self.held_bytes, self.reader.held_bytes
+        self.clients.held_bytes += self.held_bytes - held_before
+
+    def _discard_input(self) -> None:
+        """Drop received bytes, as no more commands are read."""
+        self.reader.discard()
+        self._count_held_bytes()
+
+    def has_input(self) -> bool:
+        """Return whether received commands are left that may be executed now."""
+        return self.reader.is_behind and self._accepts_commands() and not self._must_pause_reading()
+
+    def input_processed(self) -> None:
+        """Read on, unless the client has to wait for something."""
+        if self._must_pause_reading():
+            self._pause_reading()
+        else:
+            self._resume_reading()
 
-    def _process_commands(self) -> None:
-        """Execute complete commands, up to the limits on pipelining and on commands per loop iteration."""
-        completed, executed = False, 0
+    def process_input(self, units: int) -> int:
+        """Execute complete commands, up to the limit on pipelining; return the units of work done."""
         if not self._accepts_commands():
-            return None
+            return 0
+        headers_before, executed, has_advanced = self.reader.headers_checked, 0, False
         try:
-            while self._accepts_commands():
-                if self._must_pause_reading():
-                    return self._pause_reading()
-                if executed >= COMMANDS_PER_TICK:
-                    self._pause_reading()
-                    self.clients.driver.loop.call_soon(self._continue)
-                    return None
+            while self._accepts_commands() and not self._must_pause_reading():
+                used = self.reader.headers_checked - headers_before + COMMAND_UNITS * executed
+                if used >= units:
+                    break
+                command = self.reader.gets(units - used)
                 if self.upload:
                     if not self._receive_upload():
                         break
-                    completed = True
-                    continue
-                if (command := self.reader.gets()) is False:
+                    executed, has_advanced = executed + 1, True
+                elif command is not False:
+                    executed, has_advanced = executed + 1, True
+                    self._execute(command)
+                elif not self.reader.is_behind:
                     break
-                self.unfinished_bytes, completed, executed = 0, True, executed + 1
-                if self.reader.large_values and isinstance(command, list) and command[-1:] == [PLACEHOLDER]:
-                    self._begin_upload(command, self.reader.large_values.popleft())
-                else:
-                    self._handle_command(command)
-            if self.unfinished_bytes > COMMAND_BYTES_MAX:
-                raise hiredis.ProtocolError("command too long")
-            if self.unfinished_bytes and self.clients.unfinished_bytes() > COMMAND_BYTES_MAX_ALL:
-                raise hiredis.ProtocolError("too much is unfinished")
-            if self.reader.at_boundary:
-                self.waiting_since = 0.0
-            elif completed or self.upload or not self.waiting_since:
-                self.waiting_since = self.clients.driver.loop.time()
+            self._check_unfinished(has_advanced)
         except hiredis.ProtocolError as error:  # framing is lost: the next command cannot be found
             self.clients.driver.stats["client_protocol_error"] += 1
             self._end_with_error(" ".join(str(error).split()))
+        self._count_held_bytes()
         if self.clients.drain.closing_idle:
             self.close_if_idle()
-        return None
+        return self.reader.headers_checked - headers_before + COMMAND_UNITS * executed
+
+    def _execute(self, command: object) -> None:
+        """Execute a command, or begin to receive its large body."""
+        if self.reader.large_values and isinstance(command, list) and command[-1:] == [PLACEHOLDER]:
+            self._begin_upload(command, self.reader.large_values.popleft())
+        else:
+            self._handle_command(command)
+
+    def _check_unfinished(self, has_advanced: bool) -> None:
+        """Bound the bytes that are held for an unfinished command, and set the time that it began."""
+        if self._must_pause_reading():
+            return
+        self._count_held_bytes()
+        if self.held_bytes > COMMAND_BYTES_MAX:
+            raise hiredis.ProtocolError("command too long")
+        if self.reader.unparsed_bytes and self.clients.held_bytes > COMMAND_BYTES_MAX_ALL:
+            raise hiredis.ProtocolError("too much is unfinished")
+        if self.reader.at_boundary:
+            self.waiting_since = 0.0
+        elif has_advanced or self.upload or not self.waiting_since:
+            self.waiting_since = self.clients.driver.loop.time()
 
     def check_timeouts(self, cutoff: float) -> None:
         """Close a connection that has exceeded a timeout; ``cutoff`` is now less COMMAND_TIMEOUT.
@@ -206,7 +250,8 @@
             self.last_seen = self.clients.driver.loop.time()
         is_late = 0 < self.waiting_since < cutoff
         is_late |= self.upload is not None and self.upload.is_late(cutoff, COMMAND_TIMEOUT)
-        was_overdue, self.was_overdue = self.was_overdue, is_late and not self.slots
+        is_overdue = is_late and not self.slots and not self.input_queued
+        was_overdue, self.was_overdue = self.was_overdue, is_overdue
         if was_overdue and self.was_overdue:
             self.clients.driver.stats["client_overdue"] += 1
             self._note_close(CloseReason.OVERDUE)
@@ -227,10 +272,13 @@
         self._resume_reading()
         self.stage = Stage.ENDING
         self._free_upload()
+        self._discard_input()
         self._reply(reply)
 
     def end_unfinished_command(self) -> None:
         """Close a connection without requests in flight, even within a command, which then does not run."""
+        while self.has_input():  # complete commands wait for their turn
+            self.process_input(PORTION_UNITS)
         if self.stage is Stage.OPEN and not self.slots:
             self._note_close(CloseReason.DRAIN)
             if self.reader.at_boundary and not self.upload:
@@ -367,8 +415,8 @@
         return self._is_between_requests() and not self.stalled_since
 
     def _is_between_requests(self) -> bool:
-        parsed = self.reader.at_boundary and not self.reader.has_data()
-        return not self.slots and not self.upload and parsed and not self._has_unread_bytes()
+        is_parsed = self.reader.at_boundary
+        return not self.slots and not self.upload and is_parsed and not self._has_unread_bytes()
 
     def _has_unread_bytes(self) -> bool:
         """Return whether the socket holds unread input."""
@@ -410,6 +458,7 @@
     def _release_resources(self) -> None:
         """Cancel all requests of a connection that is closed for writing, and free their memory."""
         self._free_upload()
+        self._discard_input()
         slots, self.slots = self.slots, deque()
         # While reading is paused, the client's close is noticed late: see ``last_seen``.
         seconds_unobserved = self.clients.driver.loop.time() - self.last_seen if self.reading_paused else 0.0
--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import os
 import socket
 
@@ -11,12 +12,17 @@
 from .config import Config
 from .drain import Drain
 from .driver import Driver
+from .input_scheduler import InputScheduler
 from .request_log import CloseReason
 from .uploads import UPLOAD_MEMORY_SHARE, UploadMemory
 
 # Length of the accept queue. A client that overflows it may believe it is connected and wait for ever.
 LISTEN_BACKLOG = 1024
 SWEEP_INTERVAL = 0.2  # seconds between two checks of all connections' timeouts
+# Read from a client at once. A client that waits for its turn or for a response holds that much.
+RECEIVE_BYTES = 16 * 1024
+RECEIVE_BYTES_CROWDED = 1024  # while all clients together hold over HELD_BYTES_CROWDED
+HELD_BYTES_CROWDED = 1024 * 1024
 
 
 class Clients:
@@ -26,6 +32,10 @@
         self.driver, self.config, self.max_connections = driver, config, max_connections
         self.open: dict[Client, None] = {}  # least recently used first
         self.half_closed: dict[Client, None] = {}  # the one half-closed longest first
+        self.scheduler = InputScheduler(driver.loop)
+        self.shared_buffer = memoryview(bytearray(RECEIVE_BYTES))  # for the connection that is being read
+        self.held_bytes = 0  # of all clients' unfinished and waiting commands
+        self.sweep_due = math.inf  # loop time of the next sweep
         self.upload_memory = UploadMemory(int(UPLOAD_MEMORY_SHARE * config.memory))
         self.drain = Drain(self)
         self.server: asyncio.Server | None = None
@@ -45,7 +55,10 @@
 
     def _sweep(self) -> None:
         """Enforce the timeouts of all connections, so that stalled ones do not occupy descriptors."""
-        cutoff = self.driver.loop.time() - COMMAND_TIMEOUT
+        now = self.driver.loop.time()
+        self.driver.stats.loop_lag = max(self.driver.stats.loop_lag, now - self.sweep_due)
+        self.sweep_due = now + SWEEP_INTERVAL
+        cutoff = now - COMMAND_TIMEOUT
         for client in [*self.open, *self.half_closed]:
             client.check_timeouts(cutoff)
             client.close_if_idle()
@@ -87,9 +100,11 @@
         self.open.pop(client, None)
         self.open[client] = None
 
-    def unfinished_bytes(self) -> int:
-        """Return the total of buffered bytes of unfinished commands."""
-        return sum(client.unfinished_bytes for client in self.open)
+    def receive_buffer(self) -> memoryview:
+        """Return the buffer for one read; a part of it while clients hold much input together."""
+        if self.held_bytes > HELD_BYTES_CROWDED:
+            return self.shared_buffer[:RECEIVE_BYTES_CROWDED]
+        return self.shared_buffer
 
     def gauges(self) -> dict[str, int]:
         """Return connection counts by state, for the ``stats`` event and the metrics."""
@@ -100,7 +115,8 @@
             "client_slots": sum(len(c.slots) for c in self.open),
             "client_half_closed": len(self.half_closed),
             "client_unfinished": sum(not c.reader.at_boundary for c in self.open),
-            "client_unfinished_bytes": self.unfinished_bytes(),
+            "client_unfinished_bytes": self.held_bytes,
+            "client_input_queued": len(self.scheduler.queue),
             "client_uploads": sum(c.upload is not None for c in self.open),
             "upload_room_kb": self.upload_memory.free // 1024,
         }
--- a/saffrongw/host_connection.py
+++ b/saffrongw/host_connection.py
@@ -24,7 +24,7 @@
     from .hosts import Pool
 
 REPLY_BYTES_MAX = 2 * VALUE_BYTES_MAX  # of a response without a large value: metadata and a load report
-RECEIVE_BUFFER_BYTES = 256 * 1024  # SO_RCVBUF of a host's socket: bounds a chunk while the client is slow
+RECEIVE_BUFFER_BYTES = 256 * 1024  # SO_RCVBUF of a host's socket
 MS = 1_000  # microseconds
 
 
@@ -50,7 +50,7 @@
     CLOSED = auto()
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection to a host, with at most one attempt in flight."""
 
     def __init__(self, pool: Pool) -> None:
@@ -60,7 +60,6 @@
         self.attempt: Attempt | None = None
         self.large: LargeValue | None = None  # the streamed value of the current response
         self.sink: Sink | None = None  # where its chunks go
-        self.reply: object = False  # parsed response, a large value as its placeholder; False until complete
         self.paused = False
         self.last_received_at = 0.0  # when the last chunk of a streamed response was received
         self.received = 0  # bytes of the response
@@ -116,6 +115,14 @@
         if self.attempt:
             self.attempt.fully_sent = True
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next bytes, whose size bounds what one read takes."""
+        return self.pool.hosts.receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take received bytes out of the shared buffer."""
+        self.data_received(bytes(self.pool.hosts.receive_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse a response or a part of it, and report its attempt's outcome once it is complete."""
         if self.stage is Stage.CLOSED:
@@ -129,26 +136,14 @@
         self.received += len(data)
         try:
             self.reader.feed(data)
-            if self.reader.large_values:
-                self._stream()
-            if self.reply is False:
-                self.reply = self.reader.gets()
-            is_streaming = self.reader.streaming is not None and self.reader.streaming is self.large
-            reply = False if is_streaming else self.reply
-            malformed = reply is not False and (self.reader.has_data() or not self.reader.at_boundary)
-            if (
-                reply is False
-                and not is_streaming
-                and (self.reader.large_values or self.received > REPLY_BYTES_MAX)
-            ):
-                raise hiredis.ProtocolError("response too long, or a second large value")
+            reply = self._read_reply()
+            malformed = reply is not False and not self.reader.at_boundary
         except hiredis.ProtocolError:
             reply, malformed = None, True
         attempt = self.attempt
         is_early = attempt is not None and not attempt.fully_sent
         if reply is False and not is_early:
             return
-        self.reply = False
         sink = self.sink
         # Ended only with the whole response, which may be cut off after the complete large value.
         if sink and reply is not None:
@@ -163,6 +158,22 @@
         if attempt:
             hosts.handle_reply(attempt, reply, malformed)
 
+    def _read_reply(self) -> object:
+        """Return the complete response, or False; pass on the part of a large value that has come."""
+        try:
+            reply = self.reader.gets()
+        finally:
+            if self.reader.large_values:
+                self._stream()
+        is_streaming = self.reader.streaming is not None and self.reader.streaming is self.large
+        if (
+            reply is False
+            and not is_streaming
+            and (self.reader.large_values or self.received > REPLY_BYTES_MAX)
+        ):
+            raise hiredis.ProtocolError("response too long, or a second large value")
+        return reply
+
     def _stream(self) -> None:
         """Pass new chunks of a large value to the sink; the caller rejects a further large value."""
         hosts, large, attempt = self.pool.hosts, self.reader.large_values[0], self.attempt
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -20,6 +20,7 @@
 
 STREAM_IDLE_TIMEOUT = 10.0  # seconds without a byte after which a streamed response is given up
 IDLE_TIMEOUT_SHARE = 0.6  # of the hosts' idle timeout, so that no request meets a connection being closed
+RECEIVE_BYTES = 256 * 1024  # read from a host at once
 SWEEPS_PER_IDLE_TIMEOUT = 10  # checks for idle or stalled connections in one such timeout
 # Seconds before a connection is reused after a response: a duplicate response may follow some milliseconds
 # later, and would be taken for the response to the next request.
@@ -164,6 +165,7 @@
         self.max_connections, self.connect_timeout = max_connections, connect_timeout
         self.idle_timeout = IDLE_TIMEOUT_SHARE * idle_close
         self.connection_count = 0  # connections that are open or being opened
+        self.receive_buffer = memoryview(bytearray(RECEIVE_BYTES))  # for the connection that is being read
         self.pools: dict[api.Server, Pool] = {}
         self.streams: dict[Connection, None] = {}  # connections with a streamed response
         self._close_idle_connections()
--- a/saffrongw/resp.py
+++ b/saffrongw/resp.py
@@ -1,15 +1,17 @@
-"""RESP2 reader on top of hiredis that bounds declared lengths and streams large values past the parser."""
+"""RESP2 reader on top of hiredis that bounds work and memory, and streams large values past the parser."""
 
 from __future__ import annotations
 
 import os
+import sys
 from collections import deque
 
 import hiredis
 
 VALUE_BYTES_MAX = 64 * 1024  # bytes of a value that the parser buffers
 LARGE_VALUE_BYTES_MAX = 4 * 1024 * 1024  # bytes of a streamed value
-ARRAY_LENGTH_MAX = 1024  # values in one array
+VALUES_MAX = 1024  # values in one array, with those in the arrays that it contains
+DIGITS_MAX = 7  # of a length
 LINE_BYTES_MAX = 1024  # bytes of a line: a type, and a number or a short text
 CRLF = b"\r\n"
 PLACEHOLDER = os.urandom(16)  # replaces a large value in parsed arrays; random so that it cannot be forged
@@ -30,77 +32,135 @@
         return taken
 
 
-class Reader(hiredis.Reader):
-    """A hiredis reader that checks headers before the parser sees them, and streams large values.
+class Reader:
+    """A RESP2 reader that checks headers before the parser sees them, and streams large values.
 
-    The parser allocates room for as many values as an array header declares, so 13 bytes from a client or
-    host can make it allocate two billion slots. It never touches them, but every run of the garbage collector
-    scans all of them, which blocks the process for seconds.
+    hiredis allocates room for as many values as an array header declares, so 13 bytes from a client or host
+    can make it allocate two billion slots. It never touches them, but every run of the garbage collector
+    scans all of them, which blocks the process for seconds. So ``values_max`` bounds the values of an array
+    with all that it contains, and the parser sees a value only once all of its bytes have been received: an
+    unfinished one holds its bytes and no objects.
+
+    Checking a header takes some microseconds and a header may have four bytes, so ``gets`` can be told how
+    many it may check; ``is_behind`` then says that there is more to check.
 
     At one index of an array (``large_index``) a value may exceed 64 KiB. The parser then gets a placeholder,
     and the bytes go to ``large_values`` as they arrive. With ``large_must_be_last`` the array is returned as
     soon as the large value has begun.
     """
 
-    def __init__(self, value_bytes_max: int, large_index: int = -1, large_must_be_last: bool = False) -> None:
-        super().__init__()
-        self.value_bytes_max, self.large_index, self.large_must_be_last = (
-            value_bytes_max,
-            large_index,
-            large_must_be_last,
-        )
-        self.header = b""  # received part of an incomplete header; the parser gets only whole ones
+    def __init__(
+        self,
+        value_bytes_max: int,
+        values_max: int = VALUES_MAX,
+        large_index: int = -1,
+        large_must_be_last: bool = False,
+    ) -> None:
+        self.value_bytes_max, self.values_max = value_bytes_max, values_max
+        self.large_index, self.large_must_be_last = large_index, large_must_be_last
+        self.headers_checked = 0  # in total
+        self._reset()
+
+    def _reset(self) -> None:
+        self.parser = hiredis.Reader()
+        self.input = b""  # received bytes; those before ``position`` are checked
+        self.position = self.passed = 0  # the bytes before ``passed`` are with the parser, or were streamed
+        self.unparsed_bytes = 0  # with the parser, which is asked once the value is complete
+        self.is_behind = False  # bytes are left that have not been looked at
         self.body_bytes_left = 0  # bytes of the current value still to come, with its CRLF
         self.values_pending = 0  # values still to come before the outermost one is complete
+        self.values_declared = 0  # by the array headers of the outermost value
         self.value_index = -1  # index in its array of the value that began last
         self.large_values: deque[LargeValue] = deque()  # not yet taken over by the connection
         self.streaming: LargeValue | None = None  # the large value that is being received
-        self.bytes_streamed = 0  # total bytes that bypassed the parser
+        self.is_returned = False  # the value was returned before its end, as its large value comes last
         self.error = ""
 
     @property
     def at_boundary(self) -> bool:
-        """Whether everything received so far forms complete values.
+        """Whether everything received so far has been returned in complete values."""
+        return not (self.values_pending or self.body_bytes_left or self.position < len(self.input))
 
-        ``has_data`` cannot tell: the parser may have consumed all bytes of an incomplete value.
-        """
-        return not (self.values_pending or self.body_bytes_left or self.header)
+    @property
+    def held_bytes(self) -> int:
+        """Number of received bytes that are held for a value that has not been returned."""
+        return len(self.input) - self.position + self.unparsed_bytes
 
     def feed(self, data: bytes) -> None:
-        """Pass bytes to the parser up to the first invalid header."""
-        checked = consumed = 0  # bytes checked, and bytes passed to the parser or streamed
-        while checked < len(data) and not self.error:
+        """Take received bytes, which the next calls of ``gets`` read."""
+        self.input = self.input[self.position :] + data
+        self.position = self.passed = 0
+        self.is_behind = True
+
+    def discard(self) -> None:
+        """Drop what has been received, as nothing more is read."""
+        self._reset()
+
+    def gets(self, headers_max: int = sys.maxsize) -> object:
+        """Return the next complete value, or False after ``headers_max`` headers or at the end of the input.
+
+        Also return False at the end of a large value whose array has been returned already. Raise
+        ``hiredis.ProtocolError`` at the first invalid byte; all values before it have been returned then.
+        """
+        headers_end = self.headers_checked + headers_max
+        is_advancing = True
+        while is_advancing and not self.error:
             if self.body_bytes_left:
-                step = min(self.body_bytes_left, len(data) - checked)
-                self.body_bytes_left -= step
-                if not self._has_valid_terminator(data[checked : checked + step]):
-                    self.error = "malformed end of a value"
-                    break
-                checked += step
-                if self.streaming:
-                    self._stream(data[consumed:checked])
-                    consumed = checked
-                continue
-            bytes_before, end = len(self.header), data.find(b"\n", checked) + 1
-            self.header += data[checked : end or None]
-            self.error = self._check_header(self.header) if end else self._check_header_length(self.header)
-            if self.error or not end:
-                break
-            if bytes_before or self.streaming:  # otherwise the header is passed on with the bytes around it
-                super().feed(data[consumed:checked])
-                super().feed(
-                    b"$%d\r\n%b\r\n" % (len(PLACEHOLDER), PLACEHOLDER) if self.streaming else self.header
-                )
-                consumed = end
-            self.header, checked = b"", end
-        super().feed(data[consumed:checked])
-
-    def gets(self) -> object:
-        """Return the next complete value, or False; raise once all values before an error have been read."""
-        value = super().gets()
-        if value is False and self.error:
+                is_advancing = self._read_body()
+            elif self.headers_checked < headers_end:
+                is_advancing = self._read_header()
+            else:
+                self._pass_on()
+                return False
+            if is_advancing and self._is_returnable():
+                return self._parse()
+        self.is_behind = False
+        self._pass_on()
+        if self.error:
             raise hiredis.ProtocolError(self.error)
-        return value
+        return False
+
+    def _is_returnable(self) -> bool:
+        """Return whether the outermost value is complete, or is to be returned before its end."""
+        return not self.values_pending and (not self.body_bytes_left or self._returns_early())
+
+    def _returns_early(self) -> bool:
+        return self.streaming is not None and self.large_must_be_last and not self.is_returned
+
+    def _parse(self) -> object:
+        """Return the outermost value, or False if it has been returned before."""
+        self.is_behind = self.position < len(self.input)
+        self._pass_on()
+        if self.is_returned:
+            self.is_returned = False
+            return False
+        self.is_returned = self.streaming is not None
+        self.unparsed_bytes = self.values_declared = 0
+        try:
+            return self.parser.gets()
+        except hiredis.ProtocolError as error:  # for example arrays nested too deeply
+            self.error = str(error)
+            raise
+
+    def _pass_on(self) -> None:
+        """Pass the checked bytes to the parser."""
+        if self.passed < self.position:
+            self.parser.feed(self.input[self.passed : self.position])
+            self.unparsed_bytes += self.position - self.passed
+            self.passed = self.position
+
+    def _read_body(self) -> bool:
+        """Read the bytes of a value, with its CRLF; return False if there are none or they are invalid."""
+        step = min(self.body_bytes_left, len(self.input) - self.position)
+        data = self.input[self.position : self.position + step]
+        self.body_bytes_left -= step
+        if not self._has_valid_terminator(data):
+            self.error = "malformed end of a value"
+            return False
+        self.position += step
+        if self.streaming:
+            self._stream(self.streaming, data)
+        return step > 0
 
     def _has_valid_terminator(self, data: bytes) -> bool:
         """Return whether the part of the value's CRLF that these bytes hold is valid.
@@ -112,18 +172,33 @@
         end = data[-min(received, len(data)) :] if received > 0 else b""
         return end == CRLF[received - len(end) : received]
 
-    def _stream(self, data: bytes) -> None:
-        large = self.streaming
+    def _stream(self, large: LargeValue, data: bytes) -> None:
+        """Pass bytes to the large value instead of the parser."""
+        self.passed = self.position
         chunk = data[: large.bytes_left]
-        self.bytes_streamed += len(data)
         if chunk:
             large.bytes_left -= len(chunk)
             large.chunks.append(chunk)
         if not self.body_bytes_left:
             self.streaming = None
 
-    def _check_header_length(self, line: bytes) -> str:
-        return "line too long" if len(line) > LINE_BYTES_MAX else ""
+    def _read_header(self) -> bool:
+        """Check a header; return False if it is invalid or not complete yet."""
+        end = self.input.find(b"\n", self.position) + 1
+        line = self.input[self.position : end or None]
+        if not end:
+            self.error = "line too long" if len(line) > LINE_BYTES_MAX else ""
+            return False
+        self.headers_checked += 1
+        self.error = self._check_header(line)
+        if self.error:
+            return False
+        if self.streaming:  # the parser gets a placeholder instead
+            self._pass_on()
+            self.passed = end
+            self.parser.feed(b"$%d\r\n%b\r\n" % (len(PLACEHOLDER), PLACEHOLDER))
+        self.position = end
+        return True
 
     def _check_header(self, line: bytes) -> str:
         """Update the framing state by a complete header line; return an error, or an empty string."""
@@ -139,13 +214,13 @@
                 self.large_must_be_last and self.values_pending
             )
             limit = (
-                ARRAY_LENGTH_MAX
+                self.values_max - self.values_declared
                 if kind == b"*"
                 else LARGE_VALUE_BYTES_MAX
                 if may_be_large
                 else self.value_bytes_max
             )
-            if len(number) > len(str(limit)) or int(number) > limit:
+            if len(number) > DIGITS_MAX or int(number) > limit:
                 return "array or value too long"
             if kind == b"$" and number != b"-1":
                 self.body_bytes_left = int(number) + len(CRLF)
@@ -154,6 +229,7 @@
                     self.large_values.append(self.streaming)
             elif number != b"-1":
                 self.values_pending += int(number)
+                self.values_declared += int(number)
         elif kind not in (b"+", b"-", b":"):
             return "not a RESP2 value"
-        return self._check_header_length(line)
+        return "line too long" if len(line) > LINE_BYTES_MAX else ""
--- a/saffrongw/stats.py
+++ b/saffrongw/stats.py
@@ -26,6 +26,7 @@
         super().__init__()
         self.reported: Counter[str] = Counter()  # counts of earlier events
         self.gauges: Callable[[], dict[str, int]] = dict
+        self.loop_lag = 0.0  # the longest delay of a timer since the last event, in seconds
 
     def totals(self) -> Counter[str]:
         """Return the counts since the process started."""
@@ -41,10 +42,12 @@
         fields = self.gauges() | {
             "rss_kb": rss_kb(),
             "cpu_ms": int(1000 * (cpu_seconds - previous_cpu_seconds)),
+            "loop_lag_ms": int(1000 * self.loop_lag),
         }
         log.info("stats", **{logs.UNLIMITED: True}, **fields, **dict(sorted(self.items())))
         self.reported.update(self)
         self.clear()
+        self.loop_lag = 0.0
         loop.call_later(REPORT_INTERVAL, self._write_event, loop, cpu_seconds)
 
 
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -21,8 +21,9 @@
 from orchidlane import interface as api
 from saffrongw import client as client_module
 from saffrongw import drain as drain_module
-from saffrongw.client import COMMAND_TIMEOUT, COMMANDS_PER_TICK, SURPLUS_CONNECTIONS_MAX, Client, Stage
+from saffrongw.client import COMMAND_TIMEOUT, COMMAND_UNITS, SURPLUS_CONNECTIONS_MAX, Client, Stage
 from saffrongw.hosts import CONNECTION_COOLDOWN
+from saffrongw.input_scheduler import ITERATION_UNITS
 
 PING = hiredis.pack_command((b"PING",))
 TERMS = b"c=%b,t=team,d=%d,units=1,spread=2,first=0"
@@ -441,7 +442,7 @@
     assert [known.open_attempts for known in core.hosts.values()] == [0]
 
 
-@pytest.mark.parametrize("pings", [COMMANDS_PER_TICK, 2 * COMMANDS_PER_TICK])
+@pytest.mark.parametrize("pings", [64, 128, ITERATION_UNITS // COMMAND_UNITS])
 @pytest.mark.parametrize("leave", [socket.socket.close, reset])
 @asyncio_test
 async def test_pipelined_commands_are_not_executed_after_the_client_disconnects(leave, pings):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -461,9 +461,7 @@
     for number in range(SURPLUS_CONNECTIONS_MAX + 5):
         more.append(await gateway.connect_client())
         more[-1].transport.write(b"*1\r\n")
-        await until(
-            lambda number=number: more[-1].closed or gateway.clients.unfinished_bytes() == 4 * (number + 1)
-        )
+        await until(lambda number=number: more[-1].closed or gateway.clients.held_bytes == 4 * (number + 1))
     assert [client.closed for client in more] == [False] * SURPLUS_CONNECTIONS_MAX + [True] * 5
     assert len(gateway.clients.open) == 1 + SURPLUS_CONNECTIONS_MAX
     assert not busy.closed
@@ -512,7 +510,7 @@
     for client in clients:
         client.transport.write(b"*5\r\n$65536\r\n" + b"x" * 60_000)
     await until(lambda: sum(client.closed for client in clients) >= 80 - COMMAND_BYTES_MAX_ALL // 60_000)
-    assert gateway.clients.unfinished_bytes() <= COMMAND_BYTES_MAX_ALL
+    assert gateway.clients.held_bytes <= COMMAND_BYTES_MAX_ALL
     assert not all(client.closed for client in clients)
 
 
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -39,10 +39,10 @@
         size = draw.choice((1, 2, 3, 7, 50, 4096, 70_000))
         reader.feed(data[:size])
         data = data[size:]
+        while (command := reader.gets()) is not False or reader.is_behind:
+            commands += [command] if command is not False else []
         for large in reader.large_values:
             chunks += large.take_chunks()
-        while (command := reader.gets()) is not False:
-            commands.append(command)
     assert reader.at_boundary and reader.streaming is None
     assert [command[2] for command in commands] == [b"0", b"1", b"2", b"3"]
     assert [command[4] for command in commands] == [bodies[0], PLACEHOLDER, PLACEHOLDER, bodies[3]]
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -5,7 +5,7 @@
 import hiredis
 import pytest
 
-from saffrongw.resp import ARRAY_LENGTH_MAX, LINE_BYTES_MAX, Reader
+from saffrongw.resp import LINE_BYTES_MAX, VALUES_MAX, Reader
 
 
 def read(chunks) -> tuple[list, bool]:
@@ -33,7 +33,9 @@
 
 def test_at_boundary_is_true_exactly_after_a_complete_value():
     reader = Reader(100)
-    ends = [i for i in range(len(GOOD)) if (reader.feed(GOOD[i : i + 1]), reader.at_boundary)[1]]
+    ends = [
+        i for i in range(len(GOOD)) if (reader.feed(GOOD[i : i + 1]), reader.gets(), reader.at_boundary)[2]
+    ]
     command = len(hiredis.pack_command((b"A", b"*999999999\r\n$1\r\n", b"")))
     assert ends == [command - 1, len(GOOD) - len(b"+ok\r\n") - 1, len(GOOD) - 1]
 
@@ -41,7 +43,7 @@
 @pytest.mark.parametrize(
     "bad",
     [
-        b"*%d\r\n" % (ARRAY_LENGTH_MAX + 1),
+        b"*%d\r\n" % (VALUES_MAX + 1),
         b"*1\r\n*%d\r\n" % 2**31,
         b"*-2\r\n",
         b"$101\r\n",
--- a/tests/test_stats.py
+++ b/tests/test_stats.py
@@ -7,10 +7,11 @@
 import io
 import json
 import logging
+import time
 
 import pytest
 import structlog
-from conftest import asyncio_test, until
+from conftest import FakeHost, LoopbackGateway, asyncio_test, until
 
 from ops import logs
 from saffrongw import stats
@@ -51,6 +52,19 @@
     write()
 
 
+@asyncio_test
+async def test_a_held_up_event_loop_is_reported(monkeypatch):
+    monkeypatch.setattr(stats, "REPORT_INTERVAL", 0.5)
+    gateway = LoopbackGateway(await FakeHost("a").listen())
+    with structlog.testing.capture_logs() as events:
+        await gateway.clients.listen()
+        gateway.driver.stats.start(gateway.loop, dict)
+        time.sleep(0.4)  # holds the loop up, past the next sweep
+        await until(lambda: any(event.get("loop_lag_ms", 0) >= 100 for event in events))
+        reported = len(events)
+        await until(lambda: any(event.get("loop_lag_ms", 100) < 100 for event in events[reported:]))
+
+
 FIELDS = [
     (b"caf\xc3\xa9 \xff", "café \\xff"),
     (("127.0.0.1", 80), "127.0.0.1:80"),
