Bound what discovery and HTTP clients make the event loop do in one turn

What callers would have seen: the same as with the clients' junk, every request held up, while discovery or its agent sends a list in tiny chunks, informational responses without end, or JSON of millions of empty parts.

Cause: `DiscoveryConnection.data_received` parsed all that had arrived, some 15 us an event, and `read_pending` read on between two decisions for as long as anything came; json.loads and parse_hosts took 4 MiB of `{},` in 1.4 s (`[],`: 2.5 s) of one turn and 103 MB. The list service's answer for `meet` was parsed in one turn and copied for each byte; a request body to the metrics address or the list service likewise.

Change: 256 events of discovery and of the list service in a turn, 64 of an HTTP client, 64 KiB (16 KiB) a read; what is left is parsed in the next turn, unread meanwhile.

--- a/ops/http.py
+++ b/ops/http.py
@@ -19,6 +19,8 @@
 
 log = logs.get_logger(__name__)
 
+READ_BYTES = 16_384  # read from a client at once
+EVENTS_PER_ITERATION = 64  # parsed for one client before the event loop runs: a chunk may have a single byte
 HEAD_BYTES_MAX = 8_192  # of a request head; also of pipelined data received while a response is pending
 BODY_BYTES_MAX = 4_096
 REQUEST_TIMEOUT = 5.0  # seconds to receive a whole request, from the connection's start or its first byte
@@ -83,7 +85,7 @@
     return h11.Response(status_code=status, headers=lines, reason=HTTPStatus(status).phrase)
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A client's connection, which serves one request at a time.
 
     Each request is passed to ``Server.handle``, which calls ``respond`` at once or later.
@@ -140,6 +142,14 @@
         self.server.counts["closed_idle"] += 1
         self.transport.close()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next bytes, whose size bounds what one read takes."""
+        return self.server.receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take received bytes out of the shared buffer."""
+        self.data_received(bytes(self.server.receive_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse received data; pipelined requests wait until the current one has its response."""
         if self.finished:
@@ -165,8 +175,18 @@
                 HTTPError(error.error_status_hint, f"malformed HTTP/1.1 request: {error}"[:200])
             )
 
+    def _is_processing(self) -> bool:
+        return not self.response_pending and not self.writing_paused and not self.transport.is_closing()
+
     def _process_events(self) -> None:
-        while not self.response_pending and not self.writing_paused and not self.transport.is_closing():
+        """Parse what has been received, with the event loop running after every EVENTS_PER_ITERATION."""
+        events = 0
+        while self._is_processing():
+            events += 1
+            if events > EVENTS_PER_ITERATION:
+                self.transport.pause_reading()
+                self.loop.call_soon(self._continue_events)
+                return
             event = self.http.next_event()
             if event is h11.NEED_DATA:
                 if self.http.they_are_waiting_for_100_continue:
@@ -194,6 +214,11 @@
                 self.timer.cancel()
                 self._dispatch(head, body)
 
+    def _continue_events(self) -> None:
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
+            self._process_pipelined(is_new=False)
+
     def _dispatch(self, head: h11.Request, body: bytes) -> None:
         try:
             request = Request(head.method.decode(), head.target.decode(), body)
@@ -245,11 +270,12 @@
         if self.http.trailing_data[0] and not self.writing_paused:
             self.loop.call_soon(self._process_pipelined)
 
-    def _process_pipelined(self) -> None:
-        """Process data that was received before the previous response was sent."""
-        if self.response_pending or self.writing_paused or self.transport.is_closing():
+    def _process_pipelined(self, is_new: bool = True) -> None:
+        """Process data that was received before: a new request, or the rest of one that was begun."""
+        if not self._is_processing():
             return
-        self._set_timer(self.server.request_timeout, self._on_request_timeout)
+        if is_new:
+            self._set_timer(self.server.request_timeout, self._on_request_timeout)
         try:
             self._process_events()
         except h11.RemoteProtocolError as error:
@@ -321,6 +347,7 @@
         self.idle_timeout = idle_timeout
         self.write_timeout = write_timeout
         self.connections: set[Connection] = set()
+        self.receive_buffer = memoryview(bytearray(READ_BYTES))  # for the connection that is being read
         self.counts: Counter[str] = Counter()
         self.bytes_out = 0
         self.shutting_down = False
--- a/saffrongw/discovery.py
+++ b/saffrongw/discovery.py
@@ -21,7 +21,13 @@
 
 PATH = "/registry/instances"
 RESPONSE_BYTES_MAX = 4 * 1024 * 1024  # bounds memory use if a response never ends
-READ_SIZE = 256 * 1024  # bytes
+READ_BYTES = 64 * 1024  # read at once
+READS_PER_ITERATION = RESPONSE_BYTES_MAX // READ_BYTES  # of a response that is read ahead of the event loop
+# HTTP events parsed in one iteration of the event loop: a chunk of a body may have a single byte.
+EVENTS_PER_ITERATION = 256
+# Entries of a list, and commas in it: a few bytes of JSON may become an object of a hundred.
+LIST_ENTRIES_MAX = 8_192
+LIST_COMMAS_MAX = 16 * LIST_ENTRIES_MAX
 
 # All times in seconds.
 STALENESS_LIMIT = 6.0  # a change at discovery counts as delivered after this time, whether it arrived or not
@@ -77,7 +83,14 @@
     return ATTEMPT_INTERVAL_MAX if on_request else PUSHED_RETRY_INTERVAL_MAX
 
 
-class DiscoveryConnection(asyncio.Protocol):
+def check_list_size(body: bytes) -> None:
+    """Raise ValueError if a list has so many parts that parsing it would take much memory or time."""
+    entries, commas = max(body.count(b"{"), body.count(b"[")), body.count(b",")
+    if entries > LIST_ENTRIES_MAX or commas > LIST_COMMAS_MAX:
+        raise ValueError(f"list exceeds {LIST_ENTRIES_MAX} entries: {entries}, with {commas} commas")
+
+
+class DiscoveryConnection(asyncio.BufferedProtocol):
     """One HTTP connection with one request in flight at a time.
 
     Once the watch has replaced it, its events are ignored.
@@ -89,6 +102,7 @@
         self.status = 0
         self.body = bytearray()
         self.has_length = True  # of the response; without a length it goes on to the end of the stream
+        self.is_behind = False  # the next iteration goes on parsing; nothing is read meanwhile
         self.transport: asyncio.Transport | None = None
         self.task = watch.loop.create_task(self._connect(*watch.address))
 
@@ -118,36 +132,73 @@
         request = h11.Request(method="GET", target=target, headers=[("host", host)])
         self.transport.write(self.http.send(request) + self.http.send(h11.EndOfMessage()))
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next bytes, whose size bounds what one read takes."""
+        return self.watch.receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take received bytes out of the buffer."""
+        self.data_received(bytes(self.watch.receive_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse a response or a part of it; empty data stands for the end of the stream."""
         try:
             self.http.receive_data(data)
-            while self.watch.connection is self:
-                event = self.http.next_event()
-                if event in (h11.NEED_DATA, h11.PAUSED) or isinstance(event, h11.ConnectionClosed):
-                    break
-                if isinstance(event, h11.Response):
-                    self.status = event.status_code
-                    names = {name for name, _ in event.headers}
-                    self.has_length = bool(names & {b"content-length", b"transfer-encoding"})
-                elif isinstance(event, h11.Data):
-                    self.body += event.data
-                    if len(self.body) > RESPONSE_BYTES_MAX:
-                        raise ValueError(f"response exceeds {RESPONSE_BYTES_MAX} bytes")
-                elif isinstance(event, h11.EndOfMessage):
-                    self._response_complete()
+            self._parse_events()
         except MALFORMED_RESPONSE_ERRORS as error:
             self.watch.response_failed(self, error)
 
+    def _parse_events(self) -> None:
+        """Parse what has been received; after EVENTS_PER_ITERATION the event loop runs before the rest."""
+        self.is_behind = False
+        for _ in range(EVENTS_PER_ITERATION):
+            if self.watch.connection is not self:
+                return
+            event = self.http.next_event()
+            if event in (h11.NEED_DATA, h11.PAUSED) or isinstance(event, h11.ConnectionClosed):
+                return
+            self._handle_event(event)
+        if self.watch.connection is self:
+            self.is_behind = True
+            self.transport.pause_reading()
+            self.watch.loop.call_soon(self._continue)
+
+    def _handle_event(self, event: h11.Event) -> None:
+        """Handle one part of a response."""
+        if isinstance(event, h11.Response):
+            self.status = event.status_code
+            names = {name for name, _ in event.headers}
+            self.has_length = bool(names & {b"content-length", b"transfer-encoding"})
+        elif isinstance(event, h11.Data):
+            self.body += event.data
+            if len(self.body) > RESPONSE_BYTES_MAX:
+                raise ValueError(f"response exceeds {RESPONSE_BYTES_MAX} bytes")
+        elif isinstance(event, h11.EndOfMessage):
+            self._response_complete()
+
+    def _continue(self) -> None:
+        """Go on parsing, and read again once everything received is parsed."""
+        if self.watch.connection is not self:
+            return
+        try:
+            self._parse_events()
+        except MALFORMED_RESPONSE_ERRORS as error:
+            self.watch.response_failed(self, error)
+        if self.watch.connection is self and not self.is_behind:
+            self.transport.resume_reading()
+
     def read_pending(self) -> None:
         """Process the part of a response that has arrived, without waiting for the event loop to report it.
 
         The end of the stream and errors are left to the event loop.
         """
         descriptor = self.transport.get_extra_info("socket").fileno()
-        while self.watch.connection is self and self.http.their_state in (h11.SEND_RESPONSE, h11.SEND_BODY):
+        for _ in range(READS_PER_ITERATION):
+            is_expecting = self.http.their_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
+            if self.watch.connection is not self or self.is_behind or not is_expecting:
+                return
             try:
-                data = os.read(descriptor, READ_SIZE)
+                data = os.read(descriptor, READ_BYTES)
             except OSError:  # BlockingIOError: nothing more has arrived
                 return
             if not data:
@@ -218,6 +269,7 @@
         # current attempt misses, within STALENESS_LIMIT.
         self.next_attempt_due = 0.0
         self.synchronized = asyncio.Event()  # set once the list held is as recent as discovery's was
+        self.receive_buffer = memoryview(bytearray(READ_BYTES))
         self.connection: DiscoveryConnection | None = None
         self.last_connect_succeeded: bool | None = None  # None: no attempt yet
         self.logged_failures: set[Failure] = set()  # since the last answer
@@ -340,7 +392,8 @@
         self.connection.send_request(target, ":".join(map(str, self.address)))
 
     def parse(self, body: bytes) -> HostList:
-        """Parse a response body; raise one of MALFORMED_RESPONSE_ERRORS if it is malformed."""
+        """Parse a response body; raise one of MALFORMED_RESPONSE_ERRORS if it is malformed or too long."""
+        check_list_size(body)
         return parse_hosts(json.loads(body), self.zones)
 
     def answered(self, host_list: HostList, keep_alive: bool) -> None:
--- a/saffrongw/rendezvous.py
+++ b/saffrongw/rendezvous.py
@@ -22,6 +22,7 @@
 RENEW_INTERVAL, SEARCH_INTERVAL = LEASE_TIME / 3, 1.0  # seconds; the latter while no peer is known
 RESPONSE_TIMEOUT = 2.0  # seconds
 RESPONSE_BYTES_MAX = 1024 * 1024  # enough for several thousand gateways
+EVENTS_PER_ITERATION = 256  # HTTP events parsed in one iteration of the event loop
 
 
 class RendezvousClient:
@@ -101,8 +102,11 @@
             ]
             request = h11.Request(method="POST", target=f"{PATH}/{self.cluster}", headers=headers)
             writer.write(http.send(request) + http.send(h11.Data(data=body)) + http.send(h11.EndOfMessage()))
-            status, received = 0, b""
+            status, received, events = 0, bytearray(), 0
             while not isinstance(event := http.next_event(), h11.EndOfMessage):
+                events += 1
+                if events % EVENTS_PER_ITERATION == 0:
+                    await asyncio.sleep(0)  # a chunk may have a single byte: the event loop runs in between
                 if event is h11.NEED_DATA:
                     http.receive_data(await reader.read(RESPONSE_BYTES_MAX))
                 elif isinstance(event, h11.Response):
@@ -116,4 +120,4 @@
         finally:
             with contextlib.suppress(OSError):
                 writer.close()
-        return status, received
+        return status, bytes(received)
