Keep a large value in its own command instead of a queue beside the parser

The bytes stayed for as long as the connection did, counted nowhere.

Cause: the reader put large values into a queue of their own and a placeholder into the parsed array, and the client matched the two by "the last value is the placeholder". `_check_header` counted places through nested arrays, so a large value within an array stood at "the body's place"; there the last value is a list, so nobody took the value out, and from then on each command got the one before it.

Change: the reader keeps how many values each open array still has, so only the fifth of the outermost array may be large; elsewhere the limit of other values holds. The large value is an item of the array that it belongs to, from its header on. There is no queue left, of requests nor of hosts, that an error, a close, a cancel, a retry or an upgrade could shift. A host's reply is bounded by the bytes held for it.

--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -17,7 +17,7 @@
 from .input_scheduler import PORTION_UNITS
 from .request_log import CloseReason
 from .requests import BODY_INDEX, MalformedRequest, parse
-from .resp import PLACEHOLDER, VALUE_BYTES_MAX, LargeValue, Reader
+from .resp import VALUE_BYTES_MAX, LargeValue, Reader
 from .response_slots import Slot
 from .uploads import UPLOAD_RESUME_TIMEOUT, Upload
 
@@ -209,8 +209,8 @@
 
     def _execute(self, command: object) -> None:
         """Execute a command, or begin to receive its large body."""
-        if self.reader.large_values and isinstance(command, list) and command[-1:] == [PLACEHOLDER]:
-            self._begin_upload(command, self.reader.large_values.popleft())
+        if isinstance(command, list) and command and isinstance(command[-1], LargeValue):
+            self._begin_upload(command, command[-1])
         else:
             self._handle_command(command)
 
@@ -315,7 +315,7 @@
         """Handle a command whose large body has begun: check it and reserve memory for the body."""
         upload = self.upload = Upload(large, self.clients.driver.loop.time())
         try:
-            if not all(isinstance(value, bytes) for value in command) or command[0] != b"CALL.POST":
+            if not all(isinstance(value, bytes) for value in command[:-1]) or command[0] != b"CALL.POST":
                 raise MalformedRequest("unknown command")
             upload.terms, parts = parse(command, self.clients.config)
         except MalformedRequest as error:
--- a/saffrongw/host_connection.py
+++ b/saffrongw/host_connection.py
@@ -62,7 +62,6 @@
         self.sink: Sink | None = None  # where its chunks go
         self.paused = False
         self.last_received_at = 0.0  # when the last chunk of a streamed response was received
-        self.received = 0  # bytes of the response
         self.idle_since = 0.0
         # Not asyncio's timeout: with event loop lag it would close a connection that is established already.
         self.timer = pool.hosts.loop.call_later(pool.hosts.connect_timeout, pool.connect_failed, self)
@@ -102,7 +101,7 @@
 
     def start_attempt(self, attempt: Attempt, now: int) -> None:
         """Write an attempt's request."""
-        self.attempt, attempt.carrier, self.received, self.large = attempt, self, 0, None
+        self.attempt, attempt.carrier, self.large = attempt, self, None
         for chunk in pack_request(attempt, now):
             self.transport.write(chunk)
         attempt.fully_sent = not self.transport.get_write_buffer_size() and not self.transport.is_closing()
@@ -133,7 +132,6 @@
             hosts.driver.stats["host_unasked"] += 1
             self.close(CloseReason.UNREQUESTED)  # for example a late duplicate response
             return
-        self.received += len(data)
         try:
             self.reader.feed(data)
             reply = self._read_reply()
@@ -163,34 +161,26 @@
         try:
             reply = self.reader.gets()
         finally:
-            if self.reader.large_values:
-                self._stream()
-        is_streaming = self.reader.streaming is not None and self.reader.streaming is self.large
-        if (
-            reply is False
-            and not is_streaming
-            and (self.reader.large_values or self.received > REPLY_BYTES_MAX)
-        ):
-            raise hiredis.ProtocolError("response too long, or a second large value")
+            if self.reader.large:
+                self._stream(self.reader.large)
+        if isinstance(reply, list) and reply and isinstance(reply[0], LargeValue):
+            self._stream(reply[0])
+        if reply is False and self.reader.held_bytes > REPLY_BYTES_MAX:
+            raise hiredis.ProtocolError("response too long")
         return reply
 
-    def _stream(self) -> None:
-        """Pass new chunks of a large value to the sink; the caller rejects a further large value."""
-        hosts, large, attempt = self.pool.hosts, self.reader.large_values[0], self.attempt
-        if self.large is None:
+    def _stream(self, large: LargeValue) -> None:
+        """Pass new chunks of a large value to the sink, which begins with the first ones."""
+        hosts, attempt = self.pool.hosts, self.attempt
+        if self.large is not large:
             if attempt and attempt.fully_sent:
                 self.sink = hosts.driver.stream_started(attempt, large.length, self)
             if self.sink is None:
                 raise hiredis.ProtocolError("unexpected large value")
             self.attempt, hosts.streams[self], self.large = None, None, large
-        if large is not self.large:
-            return
         self.last_received_at = hosts.loop.time()
         for chunk in large.take_chunks():
             self.sink.write(chunk)
-        if not large.bytes_left:
-            self.reader.large_values.popleft()
-            self.received = 0
 
     def pause(self) -> None:
         """Apply backpressure to the host, as the client is reading slowly."""
--- a/saffrongw/resp.py
+++ b/saffrongw/resp.py
@@ -4,7 +4,6 @@
 
 import os
 import sys
-from collections import deque
 
 import hiredis
 
@@ -44,9 +43,9 @@
     Checking a header takes some microseconds and a header may have four bytes, so ``gets`` can be told how
     many it may check; ``is_behind`` then says that there is more to check.
 
-    At one index of an array (``large_index``) a value may exceed 64 KiB. The parser then gets a placeholder,
-    and the bytes go to ``large_values`` as they arrive. With ``large_must_be_last`` the array is returned as
-    soon as the large value has begun.
+    At one index of the outermost array (``large_index``) a value may exceed 64 KiB. It is a ``LargeValue`` in
+    the returned array, and until then ``large``; its bytes arrive there and bypass the parser. With
+    ``large_must_be_last`` the array is returned as soon as the large value has begun.
     """
 
     def __init__(
@@ -68,18 +67,18 @@
         self.unparsed_bytes = 0  # with the parser, which is asked once the value is complete
         self.is_behind = False  # bytes are left that have not been looked at
         self.body_bytes_left = 0  # bytes of the current value still to come, with its CRLF
-        self.values_pending = 0  # values still to come before the outermost one is complete
+        self.values_left: list[int] = []  # still to begin in each open array, the outermost one first
+        self.outermost_length = 0  # of the open array
         self.values_declared = 0  # by the array headers of the outermost value
-        self.value_index = -1  # index in its array of the value that began last
-        self.large_values: deque[LargeValue] = deque()  # not yet taken over by the connection
-        self.streaming: LargeValue | None = None  # the large value that is being received
+        self.large: LargeValue | None = None  # the one of the array that has not been returned yet
+        self.streaming: LargeValue | None = None  # the one that is being received
         self.is_returned = False  # the value was returned before its end, as its large value comes last
         self.error = ""
 
     @property
     def at_boundary(self) -> bool:
         """Whether everything received so far has been returned in complete values."""
-        return not (self.values_pending or self.body_bytes_left or self.position < len(self.input))
+        return not (self.values_left or self.body_bytes_left or self.position < len(self.input))
 
     @property
     def held_bytes(self) -> int:
@@ -122,10 +121,9 @@
 
     def _is_returnable(self) -> bool:
         """Return whether the outermost value is complete, or is to be returned before its end."""
-        return not self.values_pending and (not self.body_bytes_left or self._returns_early())
-
-    def _returns_early(self) -> bool:
-        return self.streaming is not None and self.large_must_be_last and not self.is_returned
+        if self.streaming:
+            return self.large_must_be_last and not self.is_returned
+        return not self.values_left and not self.body_bytes_left
 
     def _parse(self) -> object:
         """Return the outermost value, or False if it has been returned before."""
@@ -137,10 +135,13 @@
         self.is_returned = self.streaming is not None
         self.unparsed_bytes = self.values_declared = 0
         try:
-            return self.parser.gets()
+            value = self.parser.gets()
         except hiredis.ProtocolError as error:  # for example arrays nested too deeply
             self.error = str(error)
             raise
+        if self.large:
+            value[self.large_index], self.large = self.large, None
+        return value
 
     def _pass_on(self) -> None:
         """Pass the checked bytes to the parser."""
@@ -160,8 +161,15 @@
         self.position += step
         if self.streaming:
             self._stream(self.streaming, data)
+        if not self.body_bytes_left:
+            self._close_arrays()
         return step > 0
 
+    def _close_arrays(self) -> None:
+        """Close the arrays of which all values are complete, as one of them has been completed."""
+        while self.values_left and not self.values_left[-1]:
+            self.values_left.pop()
+
     def _has_valid_terminator(self, data: bytes) -> bool:
         """Return whether the part of the value's CRLF that these bytes hold is valid.
 
@@ -205,31 +213,48 @@
         kind, number = line[:1], line[1 : -len(CRLF)]
         if not line.endswith(CRLF):
             return "malformed line"
-        self.value_index = self.value_index + 1 if self.values_pending else -1
-        self.values_pending = max(self.values_pending, 1) - 1  # this line begins one of them
+        if len(line) > LINE_BYTES_MAX:
+            return "line too long"
+        if self.values_left:
+            self.values_left[-1] -= 1  # this line begins one of them
         if kind in (b"*", b"$"):
             if not number.isdigit() and number != b"-1":
                 return "malformed length"
-            may_be_large = self.value_index == self.large_index >= 0 and not (
-                self.large_must_be_last and self.values_pending
-            )
-            limit = (
-                self.values_max - self.values_declared
-                if kind == b"*"
-                else LARGE_VALUE_BYTES_MAX
-                if may_be_large
-                else self.value_bytes_max
-            )
-            if len(number) > DIGITS_MAX or int(number) > limit:
+            begin = self._begin_array if kind == b"*" else self._begin_value
+            if len(number) > DIGITS_MAX or not begin(int(number)):
                 return "array or value too long"
-            if kind == b"$" and number != b"-1":
-                self.body_bytes_left = int(number) + len(CRLF)
-                if may_be_large and int(number) > VALUE_BYTES_MAX:
-                    self.streaming = LargeValue(int(number))
-                    self.large_values.append(self.streaming)
-            elif number != b"-1":
-                self.values_pending += int(number)
-                self.values_declared += int(number)
         elif kind not in (b"+", b"-", b":"):
             return "not a RESP2 value"
-        return "line too long" if len(line) > LINE_BYTES_MAX else ""
+        if not self.body_bytes_left:
+            self._close_arrays()  # an open array has values left
+        return ""
+
+    def _begin_array(self, length: int) -> bool:
+        """Begin an array, of length -1 if it is null; return False if it is too long."""
+        if length > self.values_max - self.values_declared:
+            return False
+        if length > 0:
+            if not self.values_left:
+                self.outermost_length = length
+            self.values_left.append(length)
+            self.values_declared += length
+        return True
+
+    def _begin_value(self, length: int) -> bool:
+        """Begin a bulk string, of length -1 if it is null; return False if it is too long."""
+        may_be_large = self._may_be_large()
+        if length > (LARGE_VALUE_BYTES_MAX if may_be_large else self.value_bytes_max):
+            return False
+        if length >= 0:
+            self.body_bytes_left = length + len(CRLF)
+        if may_be_large and length > VALUE_BYTES_MAX:
+            self.large = self.streaming = LargeValue(length)
+        return True
+
+    def _may_be_large(self) -> bool:
+        """Return whether the value that begins stands where a large one may."""
+        if len(self.values_left) != 1:
+            return False
+        values_after = self.values_left[0]
+        is_at_index = self.outermost_length - values_after - 1 == self.large_index
+        return is_at_index and not (self.large_must_be_last and values_after)
--- a/tests/test_input_flood.py
+++ b/tests/test_input_flood.py
@@ -235,10 +235,13 @@
 
 
 def test_objects_of_an_unfinished_value_are_not_made():
-    reader = Reader(100)
+    def errors_made() -> int:
+        return sum(isinstance(made, hiredis.ReplyError) for made in gc.get_objects())
+
+    reader, errors_before = Reader(100), errors_made()
     reader.feed(b"*1024\r\n" + b"-\r\n" * 1023)
     assert reader.gets() is False and reader.unparsed_bytes == len(b"*1024\r\n") + 3 * 1023
-    assert not any(isinstance(made, hiredis.ReplyError) for made in gc.get_objects())
+    assert errors_made() <= errors_before
     reader.feed(b"-\r\n")
     values = reader.gets()
     assert len(values) == 1024 and isinstance(values[0], hiredis.ReplyError) and reader.at_boundary
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -14,7 +14,7 @@
 from saffrongw import client as client_module
 from saffrongw import hosts as hosts_module
 from saffrongw import uploads as uploads_module
-from saffrongw.resp import LARGE_VALUE_BYTES_MAX, PLACEHOLDER, VALUE_BYTES_MAX, Reader
+from saffrongw.resp import LARGE_VALUE_BYTES_MAX, VALUE_BYTES_MAX, LargeValue, Reader
 
 BIG = random.Random(5).randbytes(1_500_000)
 TERMS = b"c=put,t=team,d=9000,units=1,spread=2,first=0,k=key7"
@@ -34,20 +34,19 @@
     bodies = [draw.randbytes(size) for size in (VALUE_BYTES_MAX, VALUE_BYTES_MAX + 1, 200_000, 3)]
     data = b"".join(post(body, b"%d" % n) for n, body in enumerate(bodies))
     reader = Reader(2 * VALUE_BYTES_MAX, large_index=4, large_must_be_last=True)
-    commands, chunks = [], []
+    commands = []
     while data:
         size = draw.choice((1, 2, 3, 7, 50, 4096, 70_000))
         reader.feed(data[:size])
         data = data[size:]
-        while (command := reader.gets()) is not False or reader.is_behind:
+        while (command := reader.gets(draw.randrange(1, 9))) is not False or reader.is_behind:
             commands += [command] if command is not False else []
-        for large in reader.large_values:
-            chunks += large.take_chunks()
-    assert reader.at_boundary and reader.streaming is None
+    assert reader.at_boundary and reader.streaming is reader.large is None
     assert [command[2] for command in commands] == [b"0", b"1", b"2", b"3"]
-    assert [command[4] for command in commands] == [bodies[0], PLACEHOLDER, PLACEHOLDER, bodies[3]]
-    assert b"".join(chunks) == bodies[1] + bodies[2]
-    assert [large.length for large in reader.large_values] == [VALUE_BYTES_MAX + 1, 200_000]
+    larges = [command[4] for command in commands[1:3]]
+    assert [b"".join(large.take_chunks()) for large in larges] == bodies[1:3]
+    assert [large.length for large in larges] == [VALUE_BYTES_MAX + 1, 200_000]
+    assert [commands[0][4], commands[3][4]] == [bodies[0], bodies[3]]
 
 
 @pytest.mark.parametrize(
@@ -368,3 +367,80 @@
     host.connections[0].transport.write(answer(BIG)[100_000:])
     assert await client.wait_for_replies() == [BIG]
     await ending
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_each_value_is_read_with_its_own_parts_whatever_came_before(seed):
+    """A large value within an array became the next command's body, and each body that of the one after."""
+    draw = random.Random(seed)
+
+    def encode(value: object) -> bytes:
+        if isinstance(value, list):
+            return b"*%d\r\n" % len(value) + b"".join(map(encode, value))
+        return b"$-1\r\n" if value is None else b"$%d\r\n%b\r\n" % (len(value), value)
+
+    def draw_value(depth: int) -> object:
+        if depth < 4 and draw.random() < 0.4:
+            return [draw_value(depth + 1) for _ in range(draw.randrange(7))]
+        size = draw.choice((0, 1, 30, VALUE_BYTES_MAX, VALUE_BYTES_MAX + 1, 100_000))
+        return draw.choice((None, draw.randbytes(size), draw.randbytes(size)))
+
+    expected = [draw_value(0) for _ in range(60)]
+    expected += [
+        [b"CALL.POST", b"c", b"id", b"t", draw.randbytes(size)] for size in (150_000, 3, 300_000)
+    ] * 3
+    draw.shuffle(expected)
+    data, got = b"".join(map(encode, expected)), []
+    reader = Reader(2 * VALUE_BYTES_MAX, large_index=4, large_must_be_last=True)
+    while data:
+        size = draw.choice((1, 5, 5_000, 70_000, 400_000))
+        reader.feed(data[:size])
+        data = data[size:]
+        while (value := reader.gets(draw.randrange(1, 30))) is not False or reader.is_behind:
+            got += [value] if value is not False else []
+    for value in got:
+        if isinstance(value, list) and len(value) == 5 and isinstance(value[4], LargeValue):
+            value[4] = b"".join(value[4].take_chunks())
+    assert got == expected
+
+
+LONG = 80_000
+HEAD = (b"CALL.POST", b"0000000000000001", b"id0", TERMS)
+
+
+def with_values(count: int, *parts: bytes) -> bytes:
+    return b"*%d\r\n" % count + b"".join(parts)
+
+
+IMPROPER = {
+    "body within an array": with_values(
+        4, hiredis.pack_command(HEAD[:3])[4:], b"*1\r\n$%d\r\n%b\r\n" % (LONG, b"X" * LONG)
+    ),
+    "array before the body": with_values(
+        5, hiredis.pack_command(HEAD[:3])[4:], b"*1\r\n$1\r\nx\r\n$%d\r\n%b\r\n" % (LONG, b"X" * LONG)
+    ),
+    "body deep within arrays": b"*1\r\n" * 3 + with_values(5, b"$1\r\nx\r\n" * 4, b"$3\r\nXXX\r\n"),
+    "unknown class": post(b"X" * LONG, b"id0", TERMS.replace(b"put", b"nil")),
+    "reading with a body": post(b"X" * LONG, b"id0").replace(b"CALL.POST", b"CALL.GETS"),
+    "null and a body": with_values(5, b"$-1\r\n" * 4, b"$%d\r\n%b\r\n" % (LONG, b"X" * LONG)),
+}
+
+
+@pytest.mark.parametrize("improper", IMPROPER.values(), ids=IMPROPER)
+@asyncio_test
+async def test_orders_run_with_their_own_bodies_behind_an_improper_request(improper):
+    """Each order on the connection ran with the body of the one before, of another customer."""
+    host = await FakeHost("a").listen()
+    host.script = lambda command: answer(command[4][:1])
+    gateway = LoopbackGateway(host)
+    client = await gateway.connect_client()
+    free = gateway.clients.upload_memory.free
+    bodies = [bytes([letter]) * (LONG + letter) for letter in b"ABC"]
+    for round_number in range(2):
+        client.transport.write(improper)
+        await client.wait_for_replies(4 * round_number + 1)
+        client.transport.write(b"".join(post(body, b"id" + body[:1]) for body in bodies))
+        replies = await client.wait_for_replies(4 * round_number + 4)
+        assert isinstance(replies[-4], hiredis.ReplyError) and replies[-3:] == [b"A", b"B", b"C"]
+    assert [command[4] for command in host.commands] == 2 * bodies
+    assert gateway.clients.upload_memory.free == free and gateway.clients.held_bytes == 0
