Count and bound the bytes of answers that wait and of small pieces of bodies

What callers would have seen: a process over its memory limit and ended by it, with all that it had accepted.

Cause: three kinds of bytes belonged to no limit. (1) Answers that are ready behind a slow first one, and those written for a client that doesn't read: 64 places a connection, each up to 64 KB, or 256 KB of a streamed value. (2) Responses of which a part has come: up to 128 KB on each connection to a host. (3) Pieces of a large body: its length was reserved, but a piece of 2 bytes costs 43 more.

Change: (1) waiting and unread answers are counted and may take a fifth of the memory; beyond it one that has to wait becomes `-ERR failed`, a stream that has not begun is given up (`failed_no_room`). Answers whose turn it is, of clients that read, are never touched. (2) Parts of responses likewise a fifth; the one that crosses it is a malformed response. (3) Pieces are joined up to 4 KB. Gauges `client_waiting_reply_kb`, `host_reply_kb`.

Not bounded: up to 64 KB and one answer in the write buffer of each client that has just stopped reading.

--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -67,6 +67,7 @@
         self.was_overdue = False  # no complete command in time at the last check; two in a row close it
         self.stalled_since = 0.0  # since when the client has not read its responses; 0: it reads
         self.stalled_bytes = 0  # bytes in the write buffer at that time
+        self.unsent_bytes = 0  # bytes in the write buffer, as counted while the client does not read
         self.reading_paused = False
         self.last_seen = self.waiting_since  # when the client was last known to be connected, while paused
         self.transport: asyncio.Transport | None = None
@@ -95,6 +96,7 @@
         """
         self.stalled_since = self.clients.driver.loop.time()
         self.stalled_bytes = self.transport.get_write_buffer_size()
+        self._count_unsent_bytes()
         if self.slots and self.slots[0].source:
             self.slots[0].source.pause()
         self._pause_reading()
@@ -102,10 +104,18 @@
     def resume_writing(self) -> None:
         """Resume reading and streaming, as the write buffer has drained."""
         self.stalled_since = 0.0
+        self._count_unsent_bytes()
         if self.slots and self.slots[0].source:
             self.slots[0].source.resume()
         self._continue()
 
+    def _count_unsent_bytes(self) -> None:
+        """Count the responses that a client leaves unread; those of a client that reads are soon sent."""
+        unsent_before, self.unsent_bytes = self.unsent_bytes, 0
+        if self.stalled_since and not self.transport.is_closing():
+            self.unsent_bytes = self.transport.get_write_buffer_size()
+        self.clients.waiting_replies.change(unsent_before, self.unsent_bytes)
+
     def _must_pause_reading(self) -> bool:
         lacks_memory = self.upload is not None and not self.upload.has_memory
         return self.stalled_since > 0 or len(self.slots) >= PIPELINE_MAX or lacks_memory
@@ -235,6 +245,7 @@
         A command timeout must be exceeded in two successive sweeps: if the event loop was blocked, input that
         arrived meanwhile is read between the two.
         """
+        self._count_unsent_bytes()
         if self.stalled_since and (unsent := self.transport.get_write_buffer_size()) < self.stalled_bytes:
             self.stalled_bytes, self.stalled_since = unsent, cutoff + COMMAND_TIMEOUT  # slow, but it reads
         if 0 < self.stalled_since < cutoff - (WRITE_STALL_TIMEOUT - COMMAND_TIMEOUT):
@@ -338,9 +349,8 @@
     def _receive_upload(self) -> bool:
         """Take new chunks of a large body; once it is complete, accept its request and return True."""
         upload = self.upload
-        chunks = upload.large.take_chunks()
-        if upload.terms:
-            upload.chunks += chunks
+        for chunk in upload.large.take_chunks():
+            upload.add(chunk)
         if self.reader.streaming is upload.large:
             return False
         self.upload = None
@@ -397,8 +407,8 @@
         """Write all responses that are first in the pipeline and ready."""
         while self.slots and (slot := self.slots[0]).reply is not None:
             if not slot.begun:
-                slot.begun = True
-                self.write(slot.reply)
+                self.write(slot.begin_writing())
+                self._count_unsent_bytes()
                 if slot.source and not self.stalled_since:
                     slot.source.resume()
             if slot.source:
@@ -450,6 +460,7 @@
         """End the requests that the client of the closed connection was waiting for."""
         self.clients.open.pop(self, None)
         self.clients.half_closed.pop(self, None)
+        self._count_unsent_bytes()
         if request_log := self.clients.driver.request_log:
             address = self.transport.get_extra_info("peername")
             request_log.connection_closed("client", address, self.close_reason or CloseReason.PEER)
@@ -463,7 +474,7 @@
         # While reading is paused, the client's close is noticed late: see ``last_seen``.
         seconds_unobserved = self.clients.driver.loop.time() - self.last_seen if self.reading_paused else 0.0
         for slot in slots:
-            slot.release_body()
+            slot.release_memory()
             source, slot.source = slot.source, None
             if source:
                 source.abort()
--- a/saffrongw/host_connection.py
+++ b/saffrongw/host_connection.py
@@ -60,6 +60,7 @@
         self.attempt: Attempt | None = None
         self.large: LargeValue | None = None  # the streamed value of the current response
         self.sink: Sink | None = None  # where its chunks go
+        self.held_bytes = 0  # of a response that is not complete
         self.paused = False
         self.last_received_at = 0.0  # when the last chunk of a streamed response was received
         self.idle_since = 0.0
@@ -165,10 +166,17 @@
                 self._stream(self.reader.large)
         if isinstance(reply, list) and reply and isinstance(reply[0], LargeValue):
             self._stream(reply[0])
+        self._count_held_bytes()
         if reply is False and self.reader.held_bytes > REPLY_BYTES_MAX:
             raise hiredis.ProtocolError("response too long")
+        if self.held_bytes and self.pool.hosts.partial_replies.is_exceeded:
+            raise hiredis.ProtocolError("too much of unfinished responses")
         return reply
 
+    def _count_held_bytes(self) -> None:
+        held_before, self.held_bytes = self.held_bytes, self.reader.held_bytes
+        self.pool.hosts.partial_replies.change(held_before, self.held_bytes)
+
     def _stream(self, large: LargeValue) -> None:
         """Pass new chunks of a large value to the sink, which begins with the first ones."""
         hosts, attempt = self.pool.hosts, self.attempt
@@ -180,7 +188,8 @@
             self.attempt, hosts.streams[self], self.large = None, None, large
         self.last_received_at = hosts.loop.time()
         for chunk in large.take_chunks():
-            self.sink.write(chunk)
+            if self.sink:  # else the client had no room for the chunk before
+                self.sink.write(chunk)
 
     def pause(self) -> None:
         """Apply backpressure to the host, as the client is reading slowly."""
@@ -216,6 +225,8 @@
         self.pool.opening -= self.stage is Stage.OPENING
         self.stage, self.attempt = Stage.CLOSED, None
         self.pool.hosts.connection_count -= 1
+        self.reader.discard()
+        self._count_held_bytes()
         if request_log := self.pool.hosts.driver.request_log:
             request_log.connection_closed("host", self.pool.address, reason)
         self.timer.cancel()
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -13,9 +13,10 @@
 from orchidlane import interface as api
 
 from .calls import Attempt
-from .config import Address, HostList
+from .config import DEFAULT_MEMORY_MB, Address, HostList
 from .driver import Driver
 from .host_connection import Connection, Stage
+from .memory import PARTIAL_REPLY_SHARE, MemoryAccount
 from .request_log import CloseReason
 
 STREAM_IDLE_TIMEOUT = 10.0  # seconds without a byte after which a streamed response is given up
@@ -160,11 +161,13 @@
         max_connections: int,
         idle_close: float,
         connect_timeout: float,
+        memory: int = DEFAULT_MEMORY_MB * 1024 * 1024,
     ) -> None:
         self.driver, self.loop, self.report_names = driver, driver.loop, report_names
         self.max_connections, self.connect_timeout = max_connections, connect_timeout
         self.idle_timeout = IDLE_TIMEOUT_SHARE * idle_close
         self.connection_count = 0  # connections that are open or being opened
+        self.partial_replies = MemoryAccount(int(PARTIAL_REPLY_SHARE * memory))
         self.receive_buffer = memoryview(bytearray(RECEIVE_BYTES))  # for the connection that is being read
         self.pools: dict[api.Server, Pool] = {}
         self.streams: dict[Connection, None] = {}  # connections with a streamed response
@@ -251,6 +254,7 @@
             "host_conns_most": self.max_connections,
             "host_streams": len(self.streams),
             "host_idle": sum(len(pool.idle) for pool in self.pools.values()),
+            "host_reply_kb": self.partial_replies.held // 1024,
             "host_waiting": sum(len(pool.waiting) for pool in self.pools.values()),
         }
 
--- a/saffrongw/process.py
+++ b/saffrongw/process.py
@@ -75,6 +75,7 @@
             self.max_host_connections,
             config.idle_close,
             config.connect_timeout,
+            config.memory,
         )
         self.clients = Clients(self.driver, config, self.max_client_connections)
         self.control = Control(self.driver, self.clients)
--- a/saffrongw/uploads.py
+++ b/saffrongw/uploads.py
@@ -17,6 +17,9 @@
 UPLOAD_RESUME_TIMEOUT = 0.6  # seconds for the next chunk once memory is granted: the client has it ready
 
 
+JOINED_CHUNK_BYTES_MAX = 4096  # of small chunks kept as one: each costs some 50 bytes more than it holds
+
+
 @dataclass(slots=True)
 class Upload:
     """A command whose large body is still being received; without terms it is malformed and discarded."""
@@ -28,6 +31,15 @@
     chunks: list[bytes] = field(default_factory=list)
     has_memory: bool = True
 
+    def add(self, chunk: bytes) -> None:
+        """Keep a chunk; a malformed command's is dropped."""
+        if not self.terms:
+            return
+        if self.chunks and len(self.chunks[-1]) + len(chunk) <= JOINED_CHUNK_BYTES_MAX:
+            self.chunks[-1] += chunk
+        else:
+            self.chunks.append(chunk)
+
     def is_late(self, cutoff: float, grace: float) -> bool:
         """Return whether it has waited too long for memory, or is slower than the minimum rate.
 
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -6,6 +6,7 @@
 import random
 import socket
 import struct
+import sys
 
 import hiredis
 import pytest
@@ -444,3 +445,108 @@
         assert isinstance(replies[-4], hiredis.ReplyError) and replies[-3:] == [b"A", b"B", b"C"]
     assert [command[4] for command in host.commands] == 2 * bodies
     assert gateway.clients.upload_memory.free == free and gateway.clients.held_bytes == 0
+
+
+@asyncio_test
+async def test_a_body_in_tiny_pieces_takes_little_more_memory_than_its_bytes():
+    """Each piece of 2 bytes cost 43 more, which nothing counted: 4 MiB took 90 MB."""
+    gateway = LoopbackGateway(await FakeHost("a").listen())
+    client = await gateway.connect_client()
+    await until(lambda: gateway.clients.open)
+    (gateway_client,) = gateway.clients.open
+    data = post(b"x" * 200_000)
+    for at in range(0, len(data) - 10, 2):
+        gateway_client.data_received(data[at : at + 2])
+    chunks = gateway_client.upload.chunks
+    assert sum(map(sys.getsizeof, chunks)) + sys.getsizeof(chunks) < 1.05 * len(data)
+    client.transport.write(data[-10 + len(data) % 2 :])
+    assert await client.wait_for_replies()
+
+
+def wait_in_slots(gateway: LoopbackGateway) -> int:
+    return sum(len(slot.reply or b"") for client in gateway.clients.open for slot in client.slots)
+
+
+@pytest.mark.parametrize("size", [60_000, 250_000])
+@asyncio_test
+async def test_answers_that_wait_behind_others_are_counted_and_bounded(size):
+    """Twelve connections with 63 answers of 250 KB behind a slow order took 67 MB, which nothing counted."""
+    host = await FakeHost("a").listen()
+    orders = []
+    host.script = lambda command: orders.append(host.sender) if command[2] == b"slow" else answer(b"v" * size)
+    gateway = LoopbackGateway(host, sockets=1024)
+    waiting = gateway.clients.waiting_replies
+    waiting.limit, most = 1_000_000, 0
+    clients = [await gateway.connect_client() for _ in range(4)]
+    for client in clients:
+        client.send_request("bill", deadline_ms=30_000, request_id=b"slow")
+    await until(lambda: len(orders) == len(clients))
+    for client in clients:
+        for number in range(12):
+            client.send_request(deadline_ms=30_000, request_id=b"%d" % number)
+    async with asyncio.timeout(20):
+        while gateway.driver.stats["requests"] < 13 * len(clients) or len(gateway.driver.calls) > len(
+            clients
+        ):
+            most = max(most, waiting.held)
+            assert waiting.held == wait_in_slots(gateway)
+            await asyncio.sleep(0)
+    assert most <= waiting.limit + 300_000
+    assert gateway.driver.stats["failed_no_room"]
+    for sender in orders:
+        sender.transport.write(answer(b"done"))
+    for client in clients:
+        replies = await client.wait_for_replies(13)
+        assert replies[0] == b"done"
+        assert {reply if isinstance(reply, bytes) else str(reply) for reply in replies[1:]} <= {
+            b"v" * size,
+            "ERR failed",
+            "BUSY",
+        }
+    await until(lambda: not waiting.held)
+
+
+@asyncio_test
+async def test_answers_that_a_client_leaves_unread_are_counted_and_bounded():
+    host = await FakeHost("a").listen()
+    host.script = lambda command: answer(b"v" * 60_000)
+    gateway = LoopbackGateway(host, sockets=1024)
+    waiting = gateway.clients.waiting_replies
+    waiting.limit = 500_000
+    client = await gateway.connect_client()
+    client.transport.pause_reading()
+    await until(lambda: gateway.clients.open)
+    (gateway_client,) = gateway.clients.open
+    gateway_client.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    for number in range(60):
+        client.send_request(deadline_ms=30_000, request_id=b"%d" % number)
+    await until(lambda: gateway.driver.stats["requests"] == 60 and not gateway.driver.calls)
+    assert gateway_client.transport.get_write_buffer_size() <= waiting.held <= waiting.limit + 70_000
+    await until(lambda: gateway_client.transport.get_write_buffer_size() == waiting.held)
+    assert gateway.driver.stats["failed_no_room"]
+    client.transport.resume_reading()
+    replies = await client.wait_for_replies(60)
+    assert replies[0] == b"v" * 60_000
+    await until(lambda: not waiting.held)
+
+
+@asyncio_test
+async def test_parts_of_responses_of_all_hosts_are_counted_and_bounded():
+    """Each of some hundred connections held up to 128 KB of a response without end, which nothing counted."""
+    host = await FakeHost("a").listen()
+    host.script = lambda command: b"*3\r\n$60000\r\n" + b"v" * 50_000
+    gateway = LoopbackGateway(host, sockets=256)
+    partial = gateway.hosts.partial_replies
+    partial.limit, most = 500_000, 0
+    clients = [await gateway.connect_client() for _ in range(30)]
+    for client in clients:
+        client.send_request("bill", deadline_ms=1_000)
+    async with asyncio.timeout(20):
+        while not all(client.replies for client in clients):
+            assert partial.held <= partial.limit + 60_000
+            most = max(most, partial.held)
+            await asyncio.sleep(0)
+    assert most > partial.limit - 60_000
+    assert all(isinstance(client.replies[0], hiredis.ReplyError) for client in clients)
+    await until(lambda: not gateway.hosts.connection_count)
+    assert partial.held == 0 and len(host.commands) <= len(clients)
