Read again from a host's connection that goes back to its pool

Cause: `Connection.pause` stops reading, and only the response's own client resumes it; once the response is complete nobody does, and the pool hands the unread connection to the next attempt, which runs.

Change: a connection is read again before it goes back. Nothing is left to pause for by then.

--- a/saffrongw/host_connection.py
+++ b/saffrongw/host_connection.py
@@ -153,6 +153,7 @@
         else:
             self.attempt = None
             hosts.streams.pop(self, None)
+            self.resume()  # the client may have paused it in the piece that completed the response
             self.pool.release(self)
         if attempt:
             hosts.handle_reply(attempt, reply, malformed)
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -550,3 +550,24 @@
     assert all(isinstance(client.replies[0], hiredis.ReplyError) for client in clients)
     await until(lambda: not gateway.hosts.connection_count)
     assert partial.held == 0 and len(host.commands) <= len(clients)
+
+
+@pytest.mark.parametrize("size", [66_000, 100_000, 200_000])
+@asyncio_test
+async def test_a_connection_that_was_paused_by_its_last_piece_is_read_again(monkeypatch, size):
+    """It went back to its pool unread: the next attempt there ran, and its answer was never read."""
+    monkeypatch.setattr(hosts_module, "CONNECTION_COOLDOWN", 0.0)  # reuse connections at once
+    host = await FakeHost("a").listen()
+    orders = []
+    host.script = lambda command: orders.append(host.sender) if command[2] == b"slow" else answer(b"v" * size)
+    gateway = LoopbackGateway(host)
+    client, other = await gateway.connect_client(), await gateway.connect_client()
+    client.send_request("bill", request_id=b"slow", deadline_ms=5_000)
+    await until(lambda: orders)
+    client.send_request(request_id=b"behind")
+    await until(lambda: gateway.hosts.pools[b"a"].idle)
+    other.send_request(request_id=b"next", deadline_ms=1_000)
+    assert await other.wait_for_replies() == [b"v" * size]
+    assert len(host.commands) == 3 and len(host.connections) == 2
+    orders[0].transport.write(answer(b"done"))
+    assert await client.wait_for_replies(2) == [b"done", b"v" * size]
