Judge a client that reads by what it has received, not by this process's buffer

Cause: `Client.check_timeouts` went by the write buffer of the process. The kernel takes megabytes of it at once and then nothing until a third of its own buffer is free: for that long the figure stands still, and the client counted as stalled. The same figure ended a half-closed connection after a second although the kernel still held most of its answers, so that the client's next bytes reset it; a shutdown ended at a fixed time after the last deadline, whoever was reading; and time in which this process didn't read from a client, as answers waited for it, counted against the client's own body.

Change: `DeliveryWatch` takes the bytes written less those that the kernel says are not acknowledged (TIOCOUTQ) and the process's own. Progress of that is progress; who makes none for 10 s is let go as before. A half-closed connection is kept until all is delivered; a shutdown waits a second more for each 16 KiB that a client receives; times in which a client was left unread are taken off its own.

Why it works: the kernel's acknowledged bytes move with each window that the client reads, 64 KiB or less, and stand still only if it stops. Where the call is not there, the process's buffer counts as before.

--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -13,6 +13,8 @@
 
 import hiredis
 
+from ops.sockets import DeliveryWatch
+
 from .calls import Body, Terms
 from .input_scheduler import PORTION_UNITS
 from .request_log import CloseReason
@@ -65,10 +67,12 @@
         # Loop time since when the first command or the rest of one is awaited; 0: none is.
         self.waiting_since = clients.driver.loop.time()
         self.was_overdue = False  # no complete command in time at the last check; two in a row close it
-        self.stalled_since = 0.0  # since when the client has not read its responses; 0: it reads
-        self.stalled_bytes = 0  # bytes in the write buffer at that time
+        self.delivery = DeliveryWatch()
+        # Loop time since when the client has received nothing although responses wait for it; 0: none do.
+        self.stalled_since = 0.0
         self.unsent_bytes = 0  # bytes in the write buffer, as counted while the client does not read
         self.reading_paused = False
+        self.paused_at = self.waiting_since  # when reading was paused the last time
         self.last_seen = self.waiting_since  # when the client was last known to be connected, while paused
         self.transport: asyncio.Transport | None = None
         self.close_reason: CloseReason | None = None  # the first one, once this side has begun to close
@@ -94,8 +98,7 @@
 
         After ``Stage.OPEN``, ``_pause_reading`` does nothing, since input is discarded from then on.
         """
-        self.stalled_since = self.clients.driver.loop.time()
-        self.stalled_bytes = self.transport.get_write_buffer_size()
+        self._begin_delivery_watch()
         self._count_unsent_bytes()
         if self.slots and self.slots[0].source:
             self.slots[0].source.pause()
@@ -103,12 +106,17 @@
 
     def resume_writing(self) -> None:
         """Resume reading and streaming, as the write buffer has drained."""
-        self.stalled_since = 0.0
+        if self.stage is not Stage.HALF_CLOSED:  # then the kernel's part of the responses is waited for, too
+            self.stalled_since = 0.0
         self._count_unsent_bytes()
         if self.slots and self.slots[0].source:
             self.slots[0].source.resume()
         self._continue()
 
+    def _begin_delivery_watch(self) -> None:
+        self.stalled_since = self.clients.driver.loop.time()
+        self.delivery.has_progressed(self.transport)
+
     def _count_unsent_bytes(self) -> None:
         """Count the responses that a client leaves unread; those of a client that reads are soon sent."""
         unsent_before, self.unsent_bytes = self.unsent_bytes, 0
@@ -122,7 +130,8 @@
 
     def _pause_reading(self) -> None:
         if not self.reading_paused and self.stage is Stage.OPEN:
-            self.reading_paused, self.last_seen = True, self.clients.driver.loop.time()
+            self.paused_at = self.last_seen = self.clients.driver.loop.time()
+            self.reading_paused = True
             self.transport.pause_reading()
 
     def _continue(self) -> None:
@@ -133,13 +142,27 @@
     def _resume_reading(self) -> None:
         if self.reading_paused and not self.transport.is_closing():
             self.reading_paused = False
+            self._extend_timeouts(self.clients.driver.loop.time() - self.paused_at)
             self.transport.resume_reading()
 
+    def _extend_timeouts(self, seconds: float) -> None:
+        """Leave the time in which the client was not read from out of the times that it takes."""
+        now = self.clients.driver.loop.time()
+        if self.waiting_since:
+            self.waiting_since = min(now, self.waiting_since + seconds)
+        if self.upload and self.upload.has_memory:
+            self.upload.began = min(now, self.upload.began + seconds)
+
     def write(self, data: bytes) -> None:
         """Write data, unless the connection is closed for writing."""
         if not self.is_write_closed():
+            self.delivery.written += len(data)
             self.transport.write(data)
 
+    def received_bytes(self) -> int:
+        """Return how many bytes of its responses the client has received."""
+        return self.delivery.written - self.delivery.undelivered(self.transport)
+
     def is_write_closed(self) -> bool:
         """Return whether nothing can be written any more."""
         return self.stage is Stage.HALF_CLOSED or self.transport.is_closing()
@@ -246,8 +269,8 @@
         arrived meanwhile is read between the two.
         """
         self._count_unsent_bytes()
-        if self.stalled_since and (unsent := self.transport.get_write_buffer_size()) < self.stalled_bytes:
-            self.stalled_bytes, self.stalled_since = unsent, cutoff + COMMAND_TIMEOUT  # slow, but it reads
+        if self.stalled_since and self.delivery.has_progressed(self.transport):
+            self.stalled_since = cutoff + COMMAND_TIMEOUT  # slow, but it reads
         if 0 < self.stalled_since < cutoff - (WRITE_STALL_TIMEOUT - COMMAND_TIMEOUT):
             self.clients.driver.stats["client_unread"] += 1
             self._note_close(CloseReason.STALLED)
@@ -261,7 +284,7 @@
             self.last_seen = self.clients.driver.loop.time()
         is_late = 0 < self.waiting_since < cutoff
         is_late |= self.upload is not None and self.upload.is_late(cutoff, COMMAND_TIMEOUT)
-        is_overdue = is_late and not self.slots and not self.input_queued
+        is_overdue = is_late and not self.slots and not self._is_left_unread()
         was_overdue, self.was_overdue = self.was_overdue, is_overdue
         if was_overdue and self.was_overdue:
             self.clients.driver.stats["client_overdue"] += 1
@@ -274,6 +297,10 @@
             else:
                 self._end_with_error("no whole command in time")
 
+    def _is_left_unread(self) -> bool:
+        """Return whether this process does not read from the client, other than for lack of memory."""
+        return self.reading_paused and (self.upload is None or self.upload.has_memory)
+
     def _end_with_error(self, reason: str) -> None:
         self._note_close(CloseReason.MALFORMED)
         self._end_with_reply(b"-ERR %b\r\n" % reason.encode(errors="replace"))
@@ -300,8 +327,9 @@
     def half_close(self) -> None:
         """Send FIN and discard input until the client closes as well (lingering close).
 
-        Closing with unread input would reset the connection and destroy responses that the client has not
-        read yet. A client whose request crosses the FIN gets no response, and can retry it elsewhere.
+        Closing with unread input, or before input that is on its way, would reset the connection and destroy
+        responses that the client has not received yet, in this process or in the kernel. A client whose
+        request crosses the FIN gets no response, and can retry it elsewhere.
         """
         if self.is_write_closed():
             return
@@ -309,6 +337,9 @@
         self.stage = Stage.HALF_CLOSED
         self.clients.mark_half_closed(self)
         self._release_resources()
+        if not self.stalled_since:
+            self._begin_delivery_watch()
+        self.delivery.is_ended = True
         self.transport.write_eof()
         self._linger()
 
@@ -317,7 +348,7 @@
 
     def _abort_after_linger(self) -> None:
         if not self.transport.is_closing():
-            if self.transport.get_write_buffer_size():  # a slow reader; check_timeouts ends stalled ones
+            if self.delivery.undelivered(self.transport):  # a slow reader; check_timeouts ends stalled ones
                 self._linger()
             else:
                 self.transport.abort()
@@ -342,7 +373,7 @@
     def upload_memory_granted(self) -> None:
         """Continue an upload that has waited for memory."""
         now = self.clients.driver.loop.time()
-        self.upload.has_memory, self.upload.began = True, now
+        self.upload.has_memory, self.upload.began, self.paused_at = True, now, now
         self.waiting_since = now - COMMAND_TIMEOUT + UPLOAD_RESUME_TIMEOUT
         self._continue()
 
--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -61,7 +61,7 @@
         self.driver.stats.loop_lag = max(self.driver.stats.loop_lag, now - self.sweep_due)
         self.sweep_due = now + SWEEP_INTERVAL
         cutoff = now - COMMAND_TIMEOUT
-        for client in [*self.open, *self.half_closed]:
+        for client in self.connections():
             client.check_timeouts(cutoff)
             client.close_if_idle()
         self.driver.loop.call_later(SWEEP_INTERVAL, self._sweep)
@@ -92,6 +92,10 @@
             next(iter(self.half_closed)).transport.abort()
         return len(self.open) - self.max_connections
 
+    def connections(self) -> list[Client]:
+        """Return all open and half-closed connections."""
+        return [*self.open, *self.half_closed]
+
     def mark_half_closed(self, client: Client) -> None:
         """Stop counting a half-closed connection as open; it keeps its descriptor until it is closed."""
         self.open.pop(client, None)
--- a/saffrongw/drain.py
+++ b/saffrongw/drain.py
@@ -10,7 +10,7 @@
 
 from ops import logs
 
-from .client import WRITE_STALL_TIMEOUT
+from .client import WRITE_STALL_TIMEOUT, Client
 
 if TYPE_CHECKING:
     from .clients import Clients
@@ -28,6 +28,8 @@
 SHUTDOWN_REFUSE_DELAY = 0.65
 # After the listener is closed, incomplete commands delay the exit by at most this.
 SHUTDOWN_COMMAND_TIMEOUT = 1.0
+# Bytes a second at which a client has to receive its responses to be waited for beyond WRITE_STALL_TIMEOUT.
+READ_RATE_MIN = 16 * 1024
 
 
 class Drain:
@@ -85,12 +87,19 @@
         for client in list(self.clients.open):
             client.end_unfinished_command()
 
+    def _is_awaiting_readers(self, seconds: float, received_before: dict[Client, int]) -> bool:
+        """Return whether a client has kept reading fast enough for ``seconds`` beyond the usual end."""
+        return any(
+            client.received_bytes() - received_before.get(client, 0) >= READ_RATE_MIN * seconds
+            for client in self.clients.connections()
+        )
+
     async def shut_down(self, accept_time: float) -> None:
         """Close idle connections, accept new ones for ``accept_time`` seconds, then finish all requests.
 
-        Each wait is bounded: requests by their deadlines, commands by SHUTDOWN_COMMAND_TIMEOUT, half-closed
-        connections by LINGER_TIMEOUT. The exit disconnects clients that have not read their answers within
-        WRITE_STALL_TIMEOUT of the last deadline.
+        Each wait is bounded: requests by their deadlines, commands by SHUTDOWN_COMMAND_TIMEOUT, and answers
+        that clients have to read by WRITE_STALL_TIMEOUT after the last deadline, with a second more for each
+        READ_RATE_MIN bytes that a client receives.
         """
         clients = self.clients
         driver = clients.driver
@@ -107,7 +116,10 @@
         commands_cut_off_at = start + accept_time + SHUTDOWN_COMMAND_TIMEOUT
         time_left = max((call.deadline for call in driver.calls.values()), default=0) - driver.clock()
         cut_off_at = loop.time() + max(0.0, time_left / 1e6) + WRITE_STALL_TIMEOUT
-        while not clients.is_finished and loop.time() < cut_off_at:
+        received_before = {client: client.received_bytes() for client in clients.connections()}
+        while not clients.is_finished and (
+            loop.time() < cut_off_at or self._is_awaiting_readers(loop.time() - cut_off_at, received_before)
+        ):
             for client in list(clients.open):
                 client.close_if_idle()
                 if loop.time() >= commands_cut_off_at:
