Keep a body that was given up from reaching its host out of the kernel's buffer

What hosts saw: an order with a large body whose client had gone came whole some time after, as the kernel went on sending what it held when the connection was closed; a retry whose body a host took slowly could come whole after the window for repeats.

Cause: "the last byte has left the process" was taken for "the host has it", and a close for the end of the sending. Evidence: a host that reads nothing until its client has gone got 300,120 of 300,120 bytes.

Change: a connection to a host that is closed with unacknowledged bytes is reset, so the kernel drops them; when the time to send an attempt is over and its host hasn't acknowledged all of it, the attempt is given up as one that may have run.

Tests: `test_slow_peers.py`, given up by the client (fails before, see above), by the deadline (passes before, too), and by the window (can't run before: there the look is at the process's buffer alone).

--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -59,6 +59,9 @@
     def abandon(self, attempt: Attempt) -> None:
         """Give up an attempt; its outcome is reported by the caller."""
 
+    def is_delivered(self, attempt: Attempt) -> bool:
+        """Return whether the host has received the whole request of an attempt."""
+
     def apply_host_list(self, host_list: HostList) -> list[Attempt]:
         """Apply an update of discovery's list; return queued attempts that must not be sent any more."""
 
@@ -387,7 +390,7 @@
         )
         call.attempts.append(attempt)
         if action.send_by:
-            self._call_at(action.send_by, self._withdraw, attempt)
+            self._call_at(action.send_by, self._send_time_passed, attempt)
         if expires_at < call.deadline:  # otherwise the call's deadline timer ends it, which saves a timer
             attempt.timer = self._call_at(expires_at, self._timed_out, attempt)
         if self.successor:
@@ -474,6 +477,16 @@
             self.hosts.abandon(attempt)
             self.attempt_ended(attempt, api.Outcome.NOT_CONNECTED)
 
+    def _send_time_passed(self, attempt: Attempt) -> None:
+        """Give up an attempt whose last byte has not reached its host in time.
+
+        If it has left this process the host may receive it all the same, so it may have been executed.
+        """
+        self._withdraw(attempt)
+        if not (attempt.ended or self.hosts.is_delivered(attempt)):
+            self.hosts.abandon(attempt)
+            self.attempt_ended(attempt, api.Outcome.BROKEN)
+
     def _timed_out(self, attempt: Attempt) -> None:
         """End an attempt that was not answered in time; one that was never fully sent has not run."""
         if not attempt.ended:
--- a/saffrongw/host_connection.py
+++ b/saffrongw/host_connection.py
@@ -14,6 +14,7 @@
 
 import hiredis
 
+from ops.sockets import reset_connection, unacknowledged_bytes
 from orchidlane import interface as api
 
 from .calls import Attempt, Sink
@@ -204,6 +205,10 @@
             self.paused, self.last_received_at = False, self.pool.hosts.loop.time()
             self.transport.resume_reading()
 
+    def is_delivered(self) -> bool:
+        """Return whether the host has received all that was written."""
+        return not unacknowledged_bytes(self.transport)
+
     def connection_lost(self, error: Exception | None) -> None:
         """Report the outcome of the attempt in flight after the host or the network closed the connection."""
         attempt = self.attempt
@@ -232,7 +237,7 @@
             request_log.connection_closed("host", self.pool.address, reason)
         self.timer.cancel()
         if self.transport:
-            self.transport.abort()
+            reset_connection(self.transport)  # a body in the kernel's buffer must not reach the host any more
         else:
             self.task.cancel()
         # A partially delivered response cannot be taken back.
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -226,6 +226,11 @@
         elif isinstance(attempt.carrier, Pool) and attempt in attempt.carrier.waiting:
             attempt.carrier.waiting.remove(attempt)
 
+    def is_delivered(self, attempt: Attempt) -> bool:
+        """Return whether the host has received the whole request of an attempt."""
+        connection = attempt.carrier
+        return attempt.fully_sent and isinstance(connection, Connection) and connection.is_delivered()
+
     def handle_reply(self, attempt: Attempt, reply: object, malformed: bool) -> None:
         """Report an attempt's outcome from its host's reply; ``malformed``: it was not exactly one reply."""
         ended = self.driver.attempt_ended
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -14,8 +14,10 @@
 import pytest
 from conftest import FakeHost, GatewayProcesses, LoopbackGateway, asyncio_test, until
 from test_client_ends import PlainClient, connect, request
-from test_large import answer, post
+from test_host_links import PlainHost
+from test_large import TERMS, answer, post
 
+from orchidlane import interface as api
 from saffrongw import client as client_module
 from saffrongw import config
 from saffrongw import drain as drain_module
@@ -201,3 +203,65 @@
         await gateway.loop.sock_sendall(plain.sock, data[at : at + len(data) // 10])
     assert received.startswith(b"$200000") and await plain.read(10) == b"$4\r\ndone\r\n"
     assert gateway.clients.upload_memory.free == free
+
+
+# -- hosts that take a body slowly
+
+
+async def order_in_the_kernel(gateway: LoopbackGateway, host: PlainHost, body: bytes, terms: bytes = TERMS):
+    """Return a client whose order has left the process for a host that has read nothing of it."""
+    client = await gateway.connect_client()
+    client.transport.write(post(body, terms=terms))
+    sock = await host.accept()
+    await until(lambda: gateway.driver.calls and all(c.attempts for c in gateway.driver.calls.values()))
+    (call,) = gateway.driver.calls.values()
+    await until(lambda: call.attempts[-1].fully_sent)
+    assert not gateway.hosts.is_delivered(call.attempts[-1])
+    return client, call, sock
+
+
+async def receive_all(sock: socket.socket) -> bytes:
+    """Read until the connection ends, by a reset or otherwise."""
+    received = b""
+    with contextlib.suppress(ConnectionResetError):
+        while piece := await asyncio.wait_for(asyncio.get_running_loop().sock_recv(sock, 65536), 10):
+            received += piece
+    return received
+
+
+def slow_host() -> PlainHost:
+    host = PlainHost("a")
+    host.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    return host
+
+
+@pytest.mark.parametrize("given_up_by", ["client", "deadline"])
+@asyncio_test
+async def test_an_order_that_is_given_up_does_not_reach_its_host_from_the_kernel(given_up_by):
+    """The kernel went on sending it after the close, and the host ran it for a client that had gone."""
+    host = slow_host()
+    gateway = LoopbackGateway(host)
+    body = b"x" * 300_000
+    terms = TERMS if given_up_by == "client" else TERMS.replace(b"d=9000", b"d=500")
+    client, _call, sock = await order_in_the_kernel(gateway, host, body, terms)
+    if given_up_by == "client":
+        client.transport.abort()
+    await until(lambda: not gateway.hosts.connection_count)
+    received = await receive_all(sock)
+    assert len(received) < len(post(body))
+    sock.close()
+
+
+@asyncio_test
+async def test_a_retry_is_given_up_if_its_host_has_not_received_it_within_the_window():
+    """Only the process's own buffer was looked at: the host got the last byte seconds after the window."""
+    host = slow_host()
+    gateway = LoopbackGateway(host)
+    body = b"x" * 300_000
+    client, call, sock = await order_in_the_kernel(gateway, host, body)
+    (attempt,) = call.attempts
+    gateway.driver._send_time_passed(attempt)  # as when the window of an earlier attempt ends
+    assert attempt.outcome is api.Outcome.BROKEN
+    assert len(await receive_all(sock)) < len(post(body))
+    sock.close()
+    client.transport.abort()
