Let a slow reader of a long HTTP response go on for as long as it receives

What callers would have seen: a scrape or a list of hosts cut off after 10 s for a reader that was reading all the time, and a second after the last response of a connection.

Cause: the timer ran from the moment the process's buffer was full until it was empty, whatever the client received; and a connection that lingers was aborted after a second.

Change: both go by `DeliveryWatch`; who receives nothing for the time is cut off as before (`cut_unread`).

Test: `a_slow_reader_of_a_long_response_is_kept_and_one_that_stops_is_let_go`, failing before.

--- a/ops/http.py
+++ b/ops/http.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import json
+import math
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -16,6 +17,7 @@
 import h11
 
 from . import logs
+from .sockets import DeliveryWatch
 
 log = logs.get_logger(__name__)
 
@@ -102,6 +104,8 @@
         self.is_head = False  # the current request is a HEAD request
         self.pipelined_bytes = 0  # received while a response was pending
         self.writing_paused = False  # the client reads too slowly
+        self.delivery = DeliveryWatch()
+        self.progressed_at = math.inf  # loop time of the last progress, once the connection lingers
         self.input_closed = False  # the client has closed its side
         self.finished = False  # the last response has been sent
         self.timer: asyncio.TimerHandle | None = None
@@ -260,6 +264,7 @@
             data += self.http.send(h11.Data(data=body))
         self.transport.write(data + self.http.send(h11.EndOfMessage()))
         self.server.bytes_out += len(data)
+        self.delivery.written += len(data)
         if close or self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
             self._close_gracefully()
             return
@@ -292,13 +297,28 @@
         if self.input_closed:
             self.transport.close()
         elif not self.transport.is_closing():
+            self.delivery.is_ended = True
+            self.progressed_at = self.loop.time()
             self.transport.write_eof()
-            self._set_timer(LINGER_TIMEOUT, self.transport.abort)
+            self._set_timer(LINGER_TIMEOUT, self._end_linger)
+
+    def _end_linger(self) -> None:
+        """Abort once the client has received everything, or has stopped receiving."""
+        if not self.delivery.undelivered(self.transport):
+            self.transport.abort()
+            return
+        if self.delivery.has_progressed(self.transport):
+            self.progressed_at = self.loop.time()
+        if self.loop.time() - self.progressed_at > self.server.write_timeout:
+            self._abort_unread()
+        else:
+            self._set_timer(LINGER_TIMEOUT, self._end_linger)
 
     def pause_writing(self) -> None:
         """Defer the next requests of a client that reads too slowly, and limit how long it may pause."""
         self.writing_paused = True
-        self.write_timer = self.loop.call_later(self.server.write_timeout, self._on_write_timeout)
+        self.delivery.has_progressed(self.transport)
+        self._set_write_timer()
 
     def resume_writing(self) -> None:
         """Continue with the deferred requests, as the client has read enough."""
@@ -308,7 +328,17 @@
         if self.http.trailing_data[0] and not self.response_pending:
             self._process_pipelined()
 
+    def _set_write_timer(self) -> None:
+        self.write_timer = self.loop.call_later(self.server.write_timeout, self._on_write_timeout)
+
     def _on_write_timeout(self) -> None:
+        """Abort a client that has received nothing in that time; a slow one may go on."""
+        if self.delivery.has_progressed(self.transport):
+            self._set_write_timer()
+        else:
+            self._abort_unread()
+
+    def _abort_unread(self) -> None:
         self.server.counts["cut_unread"] += 1
         self.transport.abort()
 
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -17,6 +17,7 @@
 from test_host_links import PlainHost
 from test_large import TERMS, answer, post
 
+from ops import http
 from orchidlane import interface as api
 from saffrongw import client as client_module
 from saffrongw import config
@@ -265,3 +266,29 @@
     assert len(await receive_all(sock)) < len(post(body))
     sock.close()
     client.transport.abort()
+
+
+# -- HTTP
+
+
+@asyncio_test
+async def test_a_slow_reader_of_a_long_response_is_kept_and_one_that_stops_is_let_go():
+    """The metrics address and the list service cut off who had not read everything in 10 s."""
+    body = random.Random(8).randbytes(4_000_000)
+    server = http.Server(lambda connection, request: connection.respond(body), 4, write_timeout=1.0)
+    await server.listen(("127.0.0.1", 0))
+    holder = type("Loop", (), {"loop": asyncio.get_running_loop()})
+    address = server.server.sockets[0].getsockname()
+    plain, stopped = (PlainClient(holder, address, receive_buffer=CLIENT_BUFFER) for _ in range(2))
+    for reader in (plain, stopped):
+        reader.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    received = await read_slowly(plain, 4.0)
+    await until(lambda: len(server.connections) == 1)
+    assert server.counts["cut_unread"] == 1
+    while not received.endswith(body[-100:]):
+        received += await plain.read(1)
+        received += plain.sock.recv(1 << 20)
+    assert received.endswith(body)
+    plain.sock.close()
+    stopped.sock.close()
+    await server.shut_down(1.0)
