Make the long command timeout of the upgrade tests take effect

Cause, traced: the successor took 2.8 s to serve (log: accepted 10:56:59.4, `serving` of the successor 10:57:02.2), and the predecessor closed the half command after 2.2 s, as it has to. The test's program sets `client.COMMAND_TIMEOUT` to a minute for that; `clients` has a copy of its own, which stayed at 2.2. Forced: a half command for 3.2 s is closed with the program as it was, and open with this one.

Change: both are set. The tests' bounds stay as they are.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -393,8 +393,8 @@
 
 
 PROGRAM_WITH_LONG_COMMAND_TIMEOUT = """
-from saffrongw import __main__, client
-client.COMMAND_TIMEOUT = 60.0
+from saffrongw import __main__, client, clients
+client.COMMAND_TIMEOUT = clients.COMMAND_TIMEOUT = 60.0
 raise SystemExit(__main__.main())
 """
 
