Work off what a handover has queued in portions, in both processes

Callers saw a gateway stand still at the end of an upgrade whose handover failed or was given up: what clients had sent while decisions were suspended, for 1.5 s at most, was decided in one turn of the event loop. The same class on the same path: the process that ends relayed all of them in one turn (0.145 s with a successor that does nothing), and each process handled all messages of the other that had arrived, up to 4 MiB.

Cause: Driver.thaw and hand_over went over the whole queue, and StreamReader.readuntil returns without a turn of the loop while a message is in its buffer. Each now does 64 at a time; until all are decided the state counts as frozen, so operators' calls wait and new events are queued behind. A request that ended meanwhile is neither decided nor relayed.

The tests count events and messages in each turn; each failed with its bound taken out (640 for 64, 2,000 for 64).

--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -30,6 +30,7 @@
 FAILED_REPLY = b"-ERR failed\r\n"
 # Between two looks for a list that has arrived while the event loop was busy or the process stood still.
 LIST_READ_INTERVAL = 20 * MS
+EVENTS_PER_ITERATION = 64  # of those queued during a handover, in one iteration of the event loop
 # Requests sent to a host up to this long after their client's close, before it was noticed, are not counted.
 CLIENT_GONE_TOLERANCE = 300 * MS
 
@@ -112,7 +113,8 @@
         self.last_request_number = 0
         self.pending_events: deque[api.Event] = deque()
         self.is_handling = False
-        self.frozen = False  # the state is being handed over: events are queued
+        self.frozen = False  # the state is being handed over, or was and is catching up: events are queued
+        self.catching_up: asyncio.Handle | None = None  # handles the next queued events
         self.successor: Successor | None = None  # the process that has taken over the state
         self.observer: Observer | None = None  # receives measurements; None: metrics are off
         self.request_log: RequestLog | None = None  # None: the log level is above debug
@@ -332,33 +334,52 @@
     def freeze(self) -> None:
         """Stop making decisions: the state does not change any more, and events are queued."""
         self.frozen = True
+        if self.catching_up:
+            self.catching_up.cancel()
 
     def thaw(self) -> None:
-        """Resume after a failed handover: handle the queued events, except for requests that have ended."""
-        self.frozen = False
-        queued_events, self.pending_events = self.pending_events, deque()
-        ended = {
-            queued.request
-            for queued in queued_events
-            if isinstance(queued, api.RequestArrived) and queued.request not in self.calls
-        }
-        for event in queued_events:
-            if not (isinstance(event, api.RequestArrived | api.ClientGone) and event.request in ended):
-                self.feed(event)
+        """Resume after a failed handover: handle the queued events, except for requests that have ended.
+
+        New events are queued behind them, and the state counts as frozen, until all are handled.
+        """
+        self._catch_up(set())
+
+    def _catch_up(self, ended: set[int]) -> None:
+        """Handle some of the queued events; ``ended`` are requests that ended before they were handled."""
+        self.is_handling = True
+        try:
+            for _ in range(min(EVENTS_PER_ITERATION, len(self.pending_events))):
+                event = self.pending_events.popleft()
+                if isinstance(event, api.RequestArrived) and event.request not in self.calls:
+                    ended.add(event.request)
+                elif not (isinstance(event, api.ClientGone) and event.request in ended):
+                    self._handle(event)
+        finally:
+            self.is_handling = False
+            self.frozen = bool(self.pending_events)
+            if self.frozen:
+                self.catching_up = self.loop.call_soon(self._catch_up, ended)
 
     def hand_over(self, successor: Successor) -> None:
         """Relay to the process that has taken over the state all requests not yet sent to a host."""
         self.successor = successor
-        unsent = [call for call in self.calls.values() if not call.attempts and not call.finished]
         queued_events, self.pending_events = self.pending_events, deque()
         self.frozen = False
-        for call in unsent:
-            self.feed(api.ClientGone(call.event.request))  # this process's decision module forgets it
-            self._relay(call)
+        self._relay_unsent(deque(self.calls.values()))
         for event in queued_events:
-            if not isinstance(event, api.RequestArrived):  # its request was relayed above, or has ended
+            if not isinstance(event, api.RequestArrived):  # its request is relayed, or has ended
                 self.feed(event)
 
+    def _relay_unsent(self, calls: deque[Call]) -> None:
+        """Relay some of these requests, and the others in the next iterations of the event loop."""
+        for _ in range(min(EVENTS_PER_ITERATION, len(calls))):
+            call = calls.popleft()
+            if not (call.attempts or call.finished):
+                self.feed(api.ClientGone(call.event.request))  # this process's decision module forgets it
+                self._relay(call)
+        if calls:
+            self.loop.call_soon(self._relay_unsent, calls)
+
     def _relay(self, call: Call) -> None:
         if isinstance(call.parts[-1], tuple):  # a large body is not copied to the successor; it has not run
             self.stats["refused_handed_over"] += 1
--- a/saffrongw/handover_channel.py
+++ b/saffrongw/handover_channel.py
@@ -16,6 +16,7 @@
 
 VERSION = 1  # of the messages between the two processes
 MESSAGE_BYTES_MAX = 2 * 1024 * 1024  # fits a request with the largest body, or one batch of accounts
+MESSAGES_PER_ITERATION = 64  # received before the event loop runs, however many have arrived
 CONNECT_TIMEOUT = 1.0  # seconds for the first message: a hung process is not waited for
 FREEZE_TIMEOUT = 1.5  # seconds for which all decisions may be suspended
 CONTROL_COMMAND_TIMEOUT = 0.5  # seconds for the other process to execute an operator's command
@@ -71,6 +72,7 @@
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
+        self.received = 0  # messages
 
     @classmethod
     async def from_socket(cls, sock: socket.socket) -> Channel:
@@ -84,7 +86,13 @@
             self.writer.write(json.dumps(message).encode() + b"\n")
 
     async def receive(self) -> dict[str, Any]:
-        """Return the next message; raise one of CHANNEL_ERRORS. Safe to cancel: no data is lost."""
+        """Return the next message; raise one of CHANNEL_ERRORS. Safe to cancel: no data is lost.
+
+        One that has arrived is returned at once, so the event loop runs in between now and then.
+        """
+        self.received += 1
+        if self.received % MESSAGES_PER_ITERATION == 0:
+            await asyncio.sleep(0)
         message = json.loads(await self.reader.readuntil(b"\n"), parse_constant=_reject_constant)
         if not isinstance(message, dict):
             raise ValueError("message is not a JSON object")
