Count the bytes of requests that wait for an answer, and refuse beyond a share

Bodies of up to 64 KiB were in no count: 64 of them on each connection for as long as nothing decided on them, for example during a handover, when decisions are suspended for up to 1.5 s.

Each request counts with its command and 2 KiB for the objects that are kept for it, until it is answered or its client goes, against a fifth of the memory (client_request_kb, refused_no_room). The soak of large bodies checks that nothing stays counted.

--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -16,6 +16,7 @@
 from ops.sockets import DeliveryWatch
 
 from .calls import Body, Terms
+from .memory import REQUEST_OVERHEAD_BYTES
 from .request_log import CloseReason
 from .requests import BODY_INDEX, MalformedRequest, parse
 from .resp import VALUE_BYTES_MAX, LargeValue, Reader
@@ -437,16 +438,20 @@
         if self.clients.drain.refusing_requests:
             self.clients.driver.stats["refused_leaving"] += 1
             return self._reply(b"-BUSY\r\n", body_bytes)
+        request_bytes = REQUEST_OVERHEAD_BYTES + sum(len(part) for part in parts if isinstance(part, bytes))
+        if self.clients.request_memory.lacks(request_bytes):
+            self.clients.driver.stats["refused_no_room"] += 1
+            return self._reply(b"-BUSY\r\n", body_bytes)
         self.clients.mark_used(self)
         slot = Slot(self)
-        slot.body_bytes = body_bytes
+        slot.count_request(request_bytes, body_bytes)
         self.slots.append(slot)
         slot.call = self.clients.driver.accept_request(terms, parts, slot.answer, slot)
         return None
 
     def _reply(self, reply: bytes, body_bytes: int = 0) -> None:
         slot = Slot(self)
-        slot.body_bytes = body_bytes
+        slot.count_request(0, body_bytes)
         self.slots.append(slot)
         slot.answer(reply)
 
--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -13,7 +13,7 @@
 from .drain import Drain
 from .driver import Driver
 from .input_scheduler import InputScheduler
-from .memory import WAITING_REPLY_SHARE, MemoryAccount
+from .memory import REQUEST_SHARE, WAITING_REPLY_SHARE, MemoryAccount
 from .request_log import CloseReason
 from .uploads import UPLOAD_MEMORY_SHARE, UploadMemory
 
@@ -38,6 +38,7 @@
         self.held_bytes = 0  # of all clients' unfinished and waiting commands
         self.sweep_due = math.inf  # loop time of the next sweep
         self.upload_memory = UploadMemory(int(UPLOAD_MEMORY_SHARE * config.memory))
+        self.request_memory = MemoryAccount(int(REQUEST_SHARE * config.memory))
         self.waiting_replies = MemoryAccount(int(WAITING_REPLY_SHARE * config.memory))
         self.drain = Drain(self)
         self.server: asyncio.Server | None = None
@@ -125,6 +126,7 @@
             "client_input_queued": len(self.scheduler.queue),
             "client_uploads": sum(c.upload is not None for c in self.open),
             "upload_room_kb": self.upload_memory.free // 1024,
+            "client_request_kb": self.request_memory.held // 1024,
             "client_waiting_reply_kb": self.waiting_replies.held // 1024,
         }
 
--- a/saffrongw/memory.py
+++ b/saffrongw/memory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+REQUEST_SHARE = 1 / 5  # share of the memory limit for requests without an answer, besides large bodies
+REQUEST_OVERHEAD_BYTES = 2048  # of the objects that are kept for a request, besides its command
 WAITING_REPLY_SHARE = 1 / 5  # share of the memory limit for answers that wait behind others
 PARTIAL_REPLY_SHARE = 1 / 5  # share of the memory limit for responses of which a part has been received
 
@@ -17,6 +19,10 @@
         """Record that a holder has changed from ``before`` to ``after`` bytes."""
         self.held += after - before
 
+    def lacks(self, size: int) -> bool:
+        """Return whether there is no room for so many bytes more."""
+        return self.held + size > self.limit
+
     @property
     def is_exceeded(self) -> bool:
         """Whether more is held than the limit."""
--- a/saffrongw/metrics.py
+++ b/saffrongw/metrics.py
@@ -34,6 +34,7 @@
     "client_input_queued": "Client connections whose received input waits for its turn",
     "client_uploads": "Large request bodies being received",
     "upload_room_kb": "KiB of memory left for large request bodies",
+    "client_request_kb": "KiB of requests without an answer, besides large bodies",
     "client_waiting_reply_kb": "KiB of answers that wait behind others",
     "host_reply_kb": "KiB of responses of which a part has been received",
     "calls": "Requests without a final answer yet",
--- a/saffrongw/response_slots.py
+++ b/saffrongw/response_slots.py
@@ -15,14 +15,15 @@
 class Slot:
     """Position of one command's response in a connection's pipeline."""
 
-    __slots__ = ("begun", "body_bytes", "call", "client", "held_bytes", "reply", "source")
+    __slots__ = ("begun", "body_bytes", "call", "client", "held_bytes", "reply", "request_bytes", "source")
 
     def __init__(self, client: Client) -> None:
         self.client = client
         self.reply: bytes | None = None  # bytes of the response that are ready but not yet written
         self.held_bytes = 0  # of them, as counted
         self.call: Call | None = None
-        self.body_bytes = 0  # upload memory that the request's body occupies
+        self.request_bytes = 0  # of the request, as counted, besides a large body
+        self.body_bytes = 0  # upload memory that the request's large body occupies
         self.source: Source | None = None  # host connection that still delivers a streamed response
         self.begun = False  # the first bytes of the response have been written
 
@@ -32,7 +33,7 @@
         One that has to wait is replaced by an error if too many bytes wait on all connections.
         """
         self.reply = reply
-        self.release_body()
+        self.release_request()
         self.client.flush()
         if not self.begun and not self.client.is_write_closed():
             self._count_held_bytes()
@@ -52,14 +53,21 @@
             self._count_held_bytes()
             self.client.clients.driver.stats["failed_no_room"] += 1
 
-    def release_body(self) -> None:
-        """Release the upload memory of the request's body."""
+    def count_request(self, request_bytes: int, body_bytes: int) -> None:
+        """Count the memory that a request holds until it is answered."""
+        self.request_bytes, self.body_bytes = request_bytes, body_bytes
+        self.client.clients.request_memory.change(0, request_bytes)
+
+    def release_request(self) -> None:
+        """Release the memory of the request and of its body."""
+        request_bytes, self.request_bytes = self.request_bytes, 0
+        self.client.clients.request_memory.change(request_bytes, 0)
         body_bytes, self.body_bytes = self.body_bytes, 0
         self.client.clients.upload_memory.release(body_bytes)
 
     def release_memory(self) -> None:
         """Stop counting what is held for the request, as its connection has been closed."""
-        self.release_body()
+        self.release_request()
         self._release_reply()
 
     def _release_reply(self) -> None:
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -15,6 +15,7 @@
 from saffrongw import client as client_module
 from saffrongw import hosts as hosts_module
 from saffrongw import uploads as uploads_module
+from saffrongw.memory import REQUEST_OVERHEAD_BYTES
 from saffrongw.resp import LARGE_VALUE_BYTES_MAX, VALUE_BYTES_MAX, LargeValue, Reader
 
 BIG = random.Random(5).randbytes(1_500_000)
@@ -571,3 +572,45 @@
     assert len(host.commands) == 3 and len(host.connections) == 2
     orders[0].transport.write(answer(b"done"))
     assert await client.wait_for_replies(2) == [b"done", b"v" * size]
+
+
+# -- requests that wait
+
+
+@pytest.mark.parametrize("size", [10, 60_000])
+@asyncio_test
+async def test_requests_that_wait_are_counted_and_bounded(size):
+    """While decisions were suspended, all that clients sent was kept: 64 bodies of 64 KB a connection."""
+    host = await FakeHost("a").listen()
+    gateway = LoopbackGateway(host)
+    memory = gateway.clients.request_memory
+    memory.limit, most = 20 * (REQUEST_OVERHEAD_BYTES + size + 200), 0
+    clients = [await gateway.connect_client() for _ in range(3)]
+    gateway.driver.freeze()
+    for client in clients:
+        client.transport.write(b"".join(post(b"x" * size, b"id%d" % number) for number in range(30)))
+    async with asyncio.timeout(20):
+        while sum(len(client.slots) for client in gateway.clients.open) < 30 * len(clients):
+            most = max(most, memory.held)
+            await asyncio.sleep(0)
+    held_parts = sum(len(part) for call in gateway.driver.calls.values() for part in call.parts)
+    assert held_parts < memory.held <= memory.limit and 20 <= len(gateway.driver.calls) <= 24
+    assert gateway.driver.stats["refused_no_room"] == 30 * len(clients) - len(gateway.driver.calls)
+    gateway.driver.thaw()
+    replies = [reply for client in clients for reply in await client.wait_for_replies(30)]
+    assert {reply if isinstance(reply, bytes) else str(reply) for reply in replies} <= {b"ok", "BUSY"}
+    await until(lambda: not memory.held)
+
+
+@asyncio_test
+async def test_requests_whose_client_goes_are_no_longer_counted():
+    host = await FakeHost("a").listen()
+    host.script = lambda command: None
+    gateway = LoopbackGateway(host)
+    client = await gateway.connect_client()
+    client.send_request("bill", deadline_ms=30_000)
+    client.transport.write(post(BIG))
+    await until(lambda: len(host.commands) == 2)
+    assert 0 < gateway.clients.request_memory.held < len(BIG)
+    client.transport.close()
+    await until(lambda: not gateway.clients.request_memory.held)
--- a/tests/test_upload_soak.py
+++ b/tests/test_upload_soak.py
@@ -80,6 +80,7 @@
     assert sum(len(host.commands) for host in hosts) > ROUNDS // 4
     assert (memory.free, memory.waiting) == (capacity, {})
     assert gateway.clients.held_bytes == gateway.clients.waiting_replies.held == 0
+    assert gateway.clients.request_memory.held == 0
     assert gateway.hosts.partial_replies.held == 0
     core = gateway.driver.gateway
     assert core.requests == core.attempts == {} and errors == []
