--- a/saffrongw/host_connection.py
+++ b/saffrongw/host_connection.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from .hosts import Pool
 
+REPLY_VALUES_MAX = 64  # values of one response, of which a proper one has three
 REPLY_BYTES_MAX = 2 * VALUE_BYTES_MAX  # of a response without a large value: metadata and a load report
 RECEIVE_BUFFER_BYTES = 256 * 1024  # SO_RCVBUF of a host's socket
 MS = 1_000  # microseconds
@@ -57,7 +58,7 @@
     def __init__(self, pool: Pool) -> None:
         self.pool, self.stage = pool, Stage.OPENING
         self.transport: asyncio.Transport | None = None
-        self.reader = Reader(VALUE_BYTES_MAX, large_index=0)
+        self.reader = Reader(VALUE_BYTES_MAX, REPLY_VALUES_MAX, large_index=0)
         self.attempt: Attempt | None = None
         self.large: LargeValue | None = None  # the streamed value of the current response
         self.sink: Sink | None = None  # where its chunks go
--- a/saffrongw/resp.py
+++ b/saffrongw/resp.py
@@ -9,7 +9,6 @@
 
 VALUE_BYTES_MAX = 64 * 1024  # bytes of a value that the parser buffers
 LARGE_VALUE_BYTES_MAX = 4 * 1024 * 1024  # bytes of a streamed value
-VALUES_MAX = 1024  # values in one array, with those in the arrays that it contains
 DIGITS_MAX = 7  # of a length
 LINE_BYTES_MAX = 1024  # bytes of a line: a type, and a number or a short text
 CRLF = b"\r\n"
@@ -51,7 +50,7 @@
     def __init__(
         self,
         value_bytes_max: int,
-        values_max: int = VALUES_MAX,
+        values_max: int,
         large_index: int = -1,
         large_must_be_last: bool = False,
     ) -> None:
--- a/tests/test_input_flood.py
+++ b/tests/test_input_flood.py
@@ -24,9 +24,10 @@
 from saffrongw import config
 from saffrongw.client import COMMAND_BYTES_MAX_ALL, COMMAND_UNITS, COMMAND_VALUES_MAX
 from saffrongw.clients import RECEIVE_BYTES, RECEIVE_BYTES_CROWDED
+from saffrongw.host_connection import REPLY_VALUES_MAX
 from saffrongw.hosts import REPORT_VALUES_MAX, parse_report
 from saffrongw.input_scheduler import ITERATION_UNITS, PORTION_UNITS
-from saffrongw.resp import VALUES_MAX, Reader
+from saffrongw.resp import Reader
 
 MB = 1024 * 1024
 LONG_ARRAY = b"*1024\r\n" + b"$0\r\n\r\n" * 1024
@@ -299,8 +300,8 @@
     "junk",
     [
         b"+\r\n" * 80_000,
-        (b"*%d\r\n" % (VALUES_MAX // 2)) * 40_000,
-        b"*%d\r\n" % VALUES_MAX + b"-\r\n" * 80_000,
+        (b"*%d\r\n" % (REPLY_VALUES_MAX // 2)) * 40_000,
+        b"*%d\r\n" % REPLY_VALUES_MAX + b"-\r\n" * 80_000,
         b"*2\r\n$70000\r\n%b\r\n" % (b"x" * 70_000) + b"*0\r\n" * 40_000,
     ],
     ids=["replies", "arrays", "error lines", "behind a large value"],
@@ -321,7 +322,7 @@
     client.send_request("bill")
     await until(lambda: client.replies or client.closed)
     await until(lambda: not gateway.hosts.connection_count)
-    assert sum(reader.headers_checked for reader in readers) <= (VALUES_MAX + 2) * len(readers)
+    assert sum(reader.headers_checked for reader in readers) <= (REPLY_VALUES_MAX + 2) * len(readers)
     assert len(host.commands) == len(readers)
 
 
@@ -335,7 +336,7 @@
     def errors_made() -> int:
         return sum(isinstance(made, hiredis.ReplyError) for made in gc.get_objects())
 
-    reader, errors_before = Reader(100), errors_made()
+    reader, errors_before = Reader(100, 1024), errors_made()
     reader.feed(b"*1024\r\n" + b"-\r\n" * 1023)
     assert reader.gets() is False and reader.unparsed_bytes == len(b"*1024\r\n") + 3 * 1023
     assert errors_made() <= errors_before
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -35,7 +35,7 @@
     draw = random.Random(seed)
     bodies = [draw.randbytes(size) for size in (VALUE_BYTES_MAX, VALUE_BYTES_MAX + 1, 200_000, 3)]
     data = b"".join(post(body, b"%d" % n) for n, body in enumerate(bodies))
-    reader = Reader(2 * VALUE_BYTES_MAX, large_index=4, large_must_be_last=True)
+    reader = Reader(2 * VALUE_BYTES_MAX, 1024, large_index=4, large_must_be_last=True)
     commands = []
     while data:
         size = draw.choice((1, 2, 3, 7, 50, 4096, 70_000))
@@ -66,7 +66,7 @@
     ],
 )
 def test_values_too_long_or_misplaced_are_rejected(data):
-    reader = Reader(2 * VALUE_BYTES_MAX, large_index=4, large_must_be_last=True)
+    reader = Reader(2 * VALUE_BYTES_MAX, 1024, large_index=4, large_must_be_last=True)
     reader.feed(data)
     with pytest.raises(hiredis.ProtocolError):
         while reader.gets() is not False:
@@ -393,7 +393,7 @@
     ] * 3
     draw.shuffle(expected)
     data, got = b"".join(map(encode, expected)), []
-    reader = Reader(2 * VALUE_BYTES_MAX, large_index=4, large_must_be_last=True)
+    reader = Reader(2 * VALUE_BYTES_MAX, 1024, large_index=4, large_must_be_last=True)
     while data:
         size = draw.choice((1, 5, 5_000, 70_000, 400_000))
         reader.feed(data[:size])
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -5,12 +5,14 @@
 import hiredis
 import pytest
 
-from saffrongw.resp import LINE_BYTES_MAX, VALUES_MAX, Reader
+from saffrongw.resp import LINE_BYTES_MAX, Reader
+
+VALUES_MAX = 1024
 
 
 def read(chunks) -> tuple[list, bool]:
     """Return the values parsed from these chunks, and whether a protocol error was raised."""
-    reader, values = Reader(100), []
+    reader, values = Reader(100, VALUES_MAX), []
     try:
         for chunk in chunks:
             reader.feed(chunk)
@@ -32,7 +34,7 @@
 
 
 def test_at_boundary_is_true_exactly_after_a_complete_value():
-    reader = Reader(100)
+    reader = Reader(100, VALUES_MAX)
     ends = [
         i for i in range(len(GOOD)) if (reader.feed(GOOD[i : i + 1]), reader.gets(), reader.at_boundary)[2]
     ]
