Take no input of a host as the response to a request that it has not received

Callers could get as the answer to an order what its host had sent for the request before: a second answer that came later than 30 ms, on a connection on which a body was on its way.

Cause: Connection.data_received took a request as received once its last byte had left the process, while the kernel still held up to megabytes of it for a host that reads slowly.

Now such input ends the connection, and the attempt as one that may have run; -BUSY still says that it has not. The kernel's queue tells it: the segment with a host's answer acknowledges all that the host had received before. A second test holds that an answer right behind the last byte is accepted.

--- a/saffrongw/host_connection.py
+++ b/saffrongw/host_connection.py
@@ -135,14 +135,14 @@
             hosts.driver.stats["host_unasked"] += 1
             self.close(CloseReason.UNREQUESTED)  # for example a late duplicate response
             return
+        is_early = self._is_early()
         try:
             self.reader.feed(data)
-            reply = self._read_reply()
+            reply = self._read_reply(is_early)
             malformed = reply is not False and not self.reader.at_boundary
         except hiredis.ProtocolError:
             reply, malformed = None, True
         attempt = self.attempt
-        is_early = attempt is not None and not attempt.fully_sent
         if reply is False and not is_early:
             return
         sink = self.sink
@@ -158,17 +158,24 @@
             self.resume()  # the client may have paused it in the piece that completed the response
             self.pool.release(self)
         if attempt:
-            hosts.handle_reply(attempt, reply, malformed)
+            hosts.handle_reply(attempt, reply, malformed, is_early)
 
-    def _read_reply(self) -> object:
+    def _is_early(self) -> bool:
+        """Return whether the host had not received the whole request: what it sent is no response to it.
+
+        A host's input acknowledges what the host had received when it sent that.
+        """
+        return self.attempt is not None and not (self.attempt.fully_sent and self.is_delivered())
+
+    def _read_reply(self, is_early: bool) -> object:
         """Return the complete response, or False; pass on the part of a large value that has come."""
         try:
             reply = self.reader.gets()
         finally:
             if self.reader.large:
-                self._stream(self.reader.large)
+                self._stream(self.reader.large, is_early)
         if isinstance(reply, list) and reply and isinstance(reply[0], LargeValue):
-            self._stream(reply[0])
+            self._stream(reply[0], is_early)
         self._count_held_bytes()
         if reply is False and self.reader.held_bytes > REPLY_BYTES_MAX:
             raise hiredis.ProtocolError("response too long")
@@ -180,11 +187,11 @@
         held_before, self.held_bytes = self.held_bytes, self.reader.held_bytes
         self.pool.hosts.partial_replies.change(held_before, self.held_bytes)
 
-    def _stream(self, large: LargeValue) -> None:
+    def _stream(self, large: LargeValue, is_early: bool) -> None:
         """Pass new chunks of a large value to the sink, which begins with the first ones."""
         hosts, attempt = self.pool.hosts, self.attempt
         if self.large is not large:
-            if attempt and attempt.fully_sent:
+            if attempt and not is_early:
                 self.sink = hosts.driver.stream_started(attempt, large.length, self)
             if self.sink is None:
                 raise hiredis.ProtocolError("unexpected large value")
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -232,12 +232,17 @@
         connection = attempt.carrier
         return attempt.fully_sent and isinstance(connection, Connection) and connection.is_delivered()
 
-    def handle_reply(self, attempt: Attempt, reply: object, malformed: bool) -> None:
-        """Report an attempt's outcome from its host's reply; ``malformed``: it was not exactly one reply."""
+    def handle_reply(self, attempt: Attempt, reply: object, malformed: bool, is_early: bool) -> None:
+        """Report an attempt's outcome from its host's reply; ``malformed``: it was not exactly one reply.
+
+        ``is_early``: the host had not received the whole request; it can't have served it, but may reject it.
+        """
         ended = self.driver.attempt_ended
         error_words = str(reply).split(" ") if isinstance(reply, hiredis.ReplyError) else [""]
-        if not attempt.fully_sent:  # a host cannot have served what it has not received, but may reject it
-            ended(attempt, api.Outcome.FULL if error_words[0] == "BUSY" else api.Outcome.NOT_CONNECTED)
+        if is_early:
+            # What has left the process may have reached the host since then.
+            unserved = api.Outcome.BROKEN if attempt.fully_sent else api.Outcome.NOT_CONNECTED
+            ended(attempt, api.Outcome.FULL if error_words[0] == "BUSY" else unserved)
             return
         if isinstance(reply, list) and reply and isinstance(reply[0], bytes):
             report = parse_report(reply[2] if len(reply) > 2 else None, self.report_names)
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -12,7 +12,7 @@
 import socket
 
 import pytest
-from conftest import FakeHost, GatewayProcesses, LoopbackGateway, asyncio_test, until
+from conftest import RAW_SETTINGS, FakeHost, GatewayProcesses, LoopbackGateway, asyncio_test, until
 from test_client_ends import PlainClient, connect, request
 from test_host_links import PlainHost
 from test_large import TERMS, answer, post
@@ -268,6 +268,45 @@
     client.transport.abort()
 
 
+@pytest.mark.parametrize(
+    ("early", "reply"),
+    [
+        (b"*1\r\n$2\r\nok\r\n", "ERR failed"),
+        (b"*1\r\n$2\r", "ERR failed"),
+        (b"-ERR failed\r\n", "ERR failed"),
+        (answer(b"v" * 100_000), "ERR failed"),
+        (b"-BUSY\r\n", "BUSY"),
+    ],
+    ids=["answer", "part of one", "error", "large answer", "busy"],
+)
+@asyncio_test
+async def test_input_before_the_kernel_has_delivered_an_order_is_not_its_response(early, reply):
+    """A host's second answer to the request before was passed on as that of a body it had not received."""
+    host = slow_host()
+    gateway = LoopbackGateway(host, permissions=RAW_SETTINGS["permissions"] | {"maxAttempts": 1})
+    client, _call, sock = await order_in_the_kernel(gateway, host, b"x" * 300_000)
+    await gateway.loop.sock_sendall(sock, early)
+    (received,) = await client.wait_for_replies()
+    assert str(received).startswith(reply)
+    await until(lambda: not gateway.hosts.connection_count)
+    assert len(await receive_all(sock)) < 300_000
+    sock.close()
+
+
+@asyncio_test
+async def test_a_response_is_accepted_as_soon_as_its_host_has_received_the_order():
+    host = slow_host()
+    gateway = LoopbackGateway(host)
+    client, _call, sock = await order_in_the_kernel(gateway, host, b"x" * 300_000)
+    received = b""
+    while not received.endswith(b"x\r\n"):
+        received += await asyncio.wait_for(gateway.loop.sock_recv(sock, 65536), 10)
+    await gateway.loop.sock_sendall(sock, b"*1\r\n$2\r\nok\r\n")
+    assert await client.wait_for_replies() == [b"ok"]
+    assert gateway.hosts.connection_count == 1
+    sock.close()
+
+
 # -- HTTP
 
 
