Give up an order that only the kernel holds when its client goes, cancelling or not

Hosts ran orders whose client had closed its connection seconds before: a body that a host takes slowly lay in the kernel, and where the settings permit no cancelling, it was left to go on.

It now asks whether the host has received it, as the end of the window for repeats does; both are one function now.

The test reads from the client's close on, instead of from the connection's end; it passes with and without cancelling now.

--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -185,7 +185,7 @@
                 self.successor.client_gone(call)
             else:
                 self.feed(api.ClientGone(call.event.request))
-            for attempt in call.attempts:  # attempts not fully sent must not be sent any more
+            for attempt in call.attempts:  # those that no host has received must not be received any more
                 self._withdraw(attempt)
 
     def is_wanted(self, attempt: Attempt) -> bool:
@@ -411,7 +411,7 @@
         )
         call.attempts.append(attempt)
         if action.send_by:
-            self._call_at(action.send_by, self._send_time_passed, attempt)
+            self._call_at(action.send_by, self._withdraw, attempt)
         if expires_at < call.deadline:  # otherwise the call's deadline timer ends it, which saves a timer
             attempt.timer = self._call_at(expires_at, self._timed_out, attempt)
         if self.successor:
@@ -493,20 +493,14 @@
             self.loop.call_soon(self.calls.pop, call.event.request, None)
 
     def _withdraw(self, attempt: Attempt) -> None:
-        """Give up an attempt that is not fully sent, so that no host executes it."""
-        if not (attempt.ended or attempt.fully_sent):
-            self.hosts.abandon(attempt)
-            self.attempt_ended(attempt, api.Outcome.NOT_CONNECTED)
-
-    def _send_time_passed(self, attempt: Attempt) -> None:
-        """Give up an attempt whose last byte has not reached its host in time.
+        """Give up an attempt whose last byte has not reached its host, so that no host executes it later.
 
         If it has left this process the host may receive it all the same, so it may have been executed.
         """
-        self._withdraw(attempt)
         if not (attempt.ended or self.hosts.is_delivered(attempt)):
             self.hosts.abandon(attempt)
-            self.attempt_ended(attempt, api.Outcome.BROKEN)
+            outcome = api.Outcome.BROKEN if attempt.fully_sent else api.Outcome.NOT_CONNECTED
+            self.attempt_ended(attempt, outcome)
 
     def _timed_out(self, attempt: Attempt) -> None:
         """End an attempt that was not answered in time; one that was never fully sent has not run."""
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -236,18 +236,21 @@
     return host
 
 
+@pytest.mark.parametrize("may_cancel", [True, False])
 @pytest.mark.parametrize("given_up_by", ["client", "deadline"])
 @asyncio_test
-async def test_an_order_that_is_given_up_does_not_reach_its_host_from_the_kernel(given_up_by):
+async def test_an_order_that_is_given_up_does_not_reach_its_host_from_the_kernel(given_up_by, may_cancel):
     """The kernel went on sending it after the close, and the host ran it for a client that had gone."""
     host = slow_host()
-    gateway = LoopbackGateway(host)
+    gateway = LoopbackGateway(host, permissions=RAW_SETTINGS["permissions"] | {"cancel": may_cancel})
     body = b"x" * 300_000
     terms = TERMS if given_up_by == "client" else TERMS.replace(b"d=9000", b"d=500")
     client, _call, sock = await order_in_the_kernel(gateway, host, body, terms)
     if given_up_by == "client":
         client.transport.abort()
-    await until(lambda: not gateway.hosts.connection_count)
+        await until(lambda: not gateway.clients.open)
+    else:
+        await until(lambda: not gateway.hosts.connection_count)
     received = await receive_all(sock)
     assert len(received) < len(post(body))
     sock.close()
@@ -261,7 +264,7 @@
     body = b"x" * 300_000
     client, call, sock = await order_in_the_kernel(gateway, host, body)
     (attempt,) = call.attempts
-    gateway.driver._send_time_passed(attempt)  # as when the window of an earlier attempt ends
+    gateway.driver._withdraw(attempt)  # as when the window of an earlier attempt ends
     assert attempt.outcome is api.Outcome.BROKEN
     assert len(await receive_all(sock)) < len(post(body))
     sock.close()
