--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -15,11 +15,10 @@
 
 from ops.sockets import DeliveryWatch
 
-from .calls import Body, Terms
-from .memory import REQUEST_OVERHEAD_BYTES
+from .commands import CommandExecutor
 from .request_log import CloseReason
-from .requests import BODY_INDEX, MalformedRequest, parse
-from .resp import VALUE_BYTES_MAX, LargeValue, Reader
+from .requests import BODY_INDEX
+from .resp import VALUE_BYTES_MAX, Reader
 from .response_slots import Slot
 from .uploads import UPLOAD_RESUME_TIMEOUT, Upload
 
@@ -58,6 +57,7 @@
         self.reader = Reader(
             COMMAND_BYTES_MAX, COMMAND_VALUES_MAX, large_index=BODY_INDEX, large_must_be_last=True
         )
+        self.commands = CommandExecutor(self)
         self.upload: Upload | None = None
         self.slots: deque[Slot] = deque()
         self.held_bytes = 0  # received bytes that are held for unfinished or waiting commands
@@ -234,12 +234,12 @@
                     break
                 command = self.reader.gets(units - used)
                 if self.upload:
-                    if not self._receive_upload():
+                    if not self.commands.receive_upload():
                         break
                     executed, has_advanced = executed + 1, True
                 elif command is not False:
                     executed, has_advanced = executed + 1, True
-                    self._execute(command)
+                    self.commands.execute(command)
                 elif not self.reader.is_behind:
                     break
             self._check_unfinished(has_advanced)
@@ -251,13 +251,6 @@
             self.close_if_idle()
         return self.reader.headers_checked - headers_before + COMMAND_UNITS * executed
 
-    def _execute(self, command: object) -> None:
-        """Execute a command, or begin to receive its large body."""
-        if isinstance(command, list) and command and isinstance(command[-1], LargeValue):
-            self._begin_upload(command, command[-1])
-        else:
-            self._handle_command(command)
-
     def _check_unfinished(self, has_advanced: bool) -> None:
         """Bound the bytes that are held for an unfinished command, and set the time that it began."""
         if self._must_pause_reading():
@@ -279,6 +272,13 @@
         A command timeout must be exceeded in two successive sweeps: if the event loop was blocked, input that
         arrived meanwhile is read between the two.
         """
+        self._check_unread(cutoff)
+        if self.stage is not Stage.HALF_CLOSED:
+            self._check_gone()
+            self._check_overdue(cutoff)
+
+    def _check_unread(self, cutoff: float) -> None:
+        """Abort a connection whose client has received nothing of its responses for WRITE_STALL_TIMEOUT."""
         self._count_unsent_bytes()
         if self.stalled_since and self.delivery.has_progressed(self.transport):
             self.stalled_since = cutoff + COMMAND_TIMEOUT  # slow, but it reads
@@ -286,27 +286,32 @@
             self.clients.driver.stats["client_unread"] += 1
             self._note_close(CloseReason.STALLED)
             self.transport.abort()  # close() would wait until the client has read everything
-        if self.stage is Stage.HALF_CLOSED:
-            return
+
+    def _check_gone(self) -> None:
+        """Abort a connection whose client has closed while reading is paused."""
         if self.reading_paused and self.client_has_closed():
             self.clients.driver.stats["client_gone_unread"] += 1
             self.transport.abort()
         elif self.reading_paused:
             self.last_seen = self.clients.driver.loop.time()
+
+    def _check_overdue(self, cutoff: float) -> None:
+        """End a connection on which a command is late in two successive checks."""
         is_late = 0 < self.waiting_since < cutoff
         is_late |= self.upload is not None and self.upload.is_late(cutoff, COMMAND_TIMEOUT)
         is_overdue = is_late and not self.slots and not self._is_left_unread()
         was_overdue, self.was_overdue = self.was_overdue, is_overdue
-        if was_overdue and self.was_overdue:
-            self.clients.driver.stats["client_overdue"] += 1
-            self._note_close(CloseReason.OVERDUE)
-            if self.reader.at_boundary:
-                self.half_close()  # without an error line, which would pass for the reply to a request
-            elif self.upload and not self.upload.has_memory:
-                self.clients.driver.stats["refused_no_room"] += 1
-                self._end_with_reply(b"-BUSY\r\n")  # the request was not executed, so it may be retried
-            else:
-                self._end_with_error("no whole command in time")
+        if not (was_overdue and is_overdue):
+            return
+        self.clients.driver.stats["client_overdue"] += 1
+        self._note_close(CloseReason.OVERDUE)
+        if self.reader.at_boundary:
+            self.half_close()  # without an error line, which would pass for the reply to a request
+        elif self._lacks_memory():
+            self.clients.driver.stats["refused_no_room"] += 1
+            self._end_with_reply(b"-BUSY\r\n")  # the request was not executed, so it may be retried
+        else:
+            self._end_with_error("no whole command in time")
 
     def _is_left_unread(self) -> bool:
         """Return whether this process does not read from the client, other than for lack of memory."""
@@ -322,7 +327,12 @@
         self.stage = Stage.ENDING
         self._free_upload()
         self._discard_input()
-        self._reply(reply)
+        self.reply(reply)
+
+    def end_after_replies(self, reason: CloseReason) -> None:
+        """Read no more commands, and half-close once all responses are written."""
+        self.stage = Stage.ENDING
+        self._note_close(reason)
 
     def end_unfinished_command(self) -> None:
         """Close a connection without requests in flight, even within a command, which then does not run.
@@ -370,23 +380,6 @@
             else:
                 self.transport.abort()
 
-    def _begin_upload(self, command: list[object], large: LargeValue) -> None:
-        """Handle a command whose large body has begun: check it and reserve memory for the body."""
-        upload = self.upload = Upload(large, self.clients.driver.loop.time())
-        try:
-            if not all(isinstance(value, bytes) for value in command[:-1]) or command[0] != b"CALL.POST":
-                raise MalformedRequest("unknown command")
-            upload.terms, parts = parse(command, self.clients.config)
-        except MalformedRequest as error:
-            self.clients.driver.stats["client_malformed"] += 1
-            return self._reply(b"-ERR %b\r\n" % str(error).encode())
-        upload.parts = parts[:-1]
-        if not self.clients.upload_memory.acquire(self, large.length):
-            self.clients.driver.stats["upload_waited"] += 1
-            upload.has_memory = False
-            self.waiting_since = 0.0  # the command timeout does not run while the gateway lacks memory
-        return None
-
     def upload_memory_granted(self) -> None:
         """Continue an upload that has waited for memory."""
         now = self.clients.driver.loop.time()
@@ -394,62 +387,8 @@
         self.waiting_since = now - COMMAND_TIMEOUT + UPLOAD_RESUME_TIMEOUT
         self._continue()
 
-    def _receive_upload(self) -> bool:
-        """Take new chunks of a large body; once it is complete, accept its request and return True."""
-        upload = self.upload
-        for chunk in upload.large.take_chunks():
-            upload.add(chunk)
-        if self.reader.streaming is upload.large:
-            return False
-        self.upload = None
-        if upload.terms:
-            self._accept_request(upload.terms, (*upload.parts, tuple(upload.chunks)), upload.large.length)
-        return True
-
-    def _handle_command(self, command: object) -> None:
-        if not isinstance(command, list) or not command or not all(isinstance(v, bytes) for v in command):
-            return self._reply(b"-ERR a command is an array of bulk strings\r\n")
-        if max(map(len, command)) > VALUE_BYTES_MAX:
-            return self._reply(b"-ERR a value is too long\r\n")
-        if command[0] in (b"CALL.GET", b"CALL.POST"):
-            return self._handle_request(command)
-        if command[0].upper() == b"PING" and len(command) == 1:
-            why_not = self.clients.driver.readiness.address_not_ready_reason
-            return self._reply(b"-ERR %b\r\n" % why_not.encode() if why_not else b"+PONG\r\n")
-        return self._reply(b"-ERR unknown command\r\n")
-
-    def _handle_request(self, command: list[bytes]) -> None:
-        try:
-            terms, parts = parse(command, self.clients.config)
-        except MalformedRequest as error:
-            self.clients.driver.stats["client_malformed"] += 1
-            return self._reply(b"-ERR %b\r\n" % str(error).encode())
-        return self._accept_request(terms, parts)
-
-    def _accept_request(self, terms: Terms, parts: tuple[bytes | Body, ...], body_bytes: int = 0) -> None:
-        """Pass a complete request on or refuse it; its body holds ``body_bytes`` of upload memory."""
-        # A connection accepted beyond the limit is closed if the limit is still exceeded, to free its
-        # descriptor. BUSY says that the request was not executed; it may be retried after 1000 ms.
-        if self.is_surplus and len(self.clients.open) > self.clients.max_connections:
-            self.stage = Stage.ENDING
-            self._note_close(CloseReason.CROWDED)
-            self.clients.driver.stats["refused_crowded"] += 1
-            return self._reply(b"-BUSY 1000\r\n", body_bytes)
-        if self.clients.drain.refusing_requests:
-            self.clients.driver.stats["refused_leaving"] += 1
-            return self._reply(b"-BUSY\r\n", body_bytes)
-        request_bytes = REQUEST_OVERHEAD_BYTES + sum(len(part) for part in parts if isinstance(part, bytes))
-        if self.clients.request_memory.lacks(request_bytes):
-            self.clients.driver.stats["refused_no_room"] += 1
-            return self._reply(b"-BUSY\r\n", body_bytes)
-        self.clients.mark_used(self)
-        slot = Slot(self)
-        slot.count_request(request_bytes, body_bytes)
-        self.slots.append(slot)
-        slot.call = self.clients.driver.accept_request(terms, parts, slot.answer, slot)
-        return None
-
-    def _reply(self, reply: bytes, body_bytes: int = 0) -> None:
+    def reply(self, reply: bytes, body_bytes: int = 0) -> None:
+        """Answer a command of which ``body_bytes`` of upload memory are held."""
         slot = Slot(self)
         slot.count_request(0, body_bytes)
         self.slots.append(slot)
