--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -62,9 +62,7 @@
         self.slots: deque[Slot] = deque()
         self.held_bytes = 0  # received bytes that are held for unfinished or waiting commands
         self.input_queued = False  # the scheduler processes the input, now or in its turn
-        self.ends_after_input = (
-            False  # the connection is closed once the commands received so far are executed
-        )
+        self.ends_after_input = False  # it is closed once the received commands are executed
         self.stage = Stage.OPEN
         self.is_surplus = False  # it was accepted beyond the connection limit
         # Loop time since when the first command or the rest of one is awaited; 0: none is.
