Wait for a host's acknowledgement before its order counts as not received

The driver asks 60 ms after the close now: early enough, as an attempt may begin up to 0.1 s after it.

--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -30,6 +30,8 @@
 FAILED_REPLY = b"-ERR failed\r\n"
 # Between two looks for a list that has arrived while the event loop was busy or the process stood still.
 LIST_READ_INTERVAL = 20 * MS
+# Until a host's kernel has acknowledged what it received. No attempt may begin 100 ms after a close.
+ACKNOWLEDGEMENT_DELAY = 60 * MS
 EVENTS_PER_ITERATION = 64  # of those queued during a handover, in one iteration of the event loop
 # Requests sent to a host up to this long after their client's close, before it was noticed, are not counted.
 CLIENT_GONE_TOLERANCE = 300 * MS
@@ -185,8 +187,8 @@
                 self.successor.client_gone(call)
             else:
                 self.feed(api.ClientGone(call.event.request))
-            for attempt in call.attempts:  # those that no host has received must not be received any more
-                self._withdraw(attempt)
+            for attempt in call.attempts:
+                self._withdraw_after_close(attempt)
 
     def is_wanted(self, attempt: Attempt) -> bool:
         """Return whether an attempt may still be sent, and end it if not; called right before it is written.
@@ -492,6 +494,16 @@
         else:  # kept for one loop iteration: the module may still cancel its outstanding attempts
             self.loop.call_soon(self.calls.pop, call.event.request, None)
 
+    def _withdraw_after_close(self, attempt: Attempt) -> None:
+        """Give up an attempt of a client that has gone, unless its host has received it.
+
+        Where all has left this process, the host's acknowledgement may be on its way.
+        """
+        if not attempt.fully_sent:
+            self._withdraw(attempt)
+        elif not attempt.ended:
+            self._call_after(ACKNOWLEDGEMENT_DELAY, self._withdraw, attempt)
+
     def _withdraw(self, attempt: Attempt) -> None:
         """Give up an attempt whose last byte has not reached its host, so that no host executes it later.
 
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -14,7 +14,7 @@
 import pytest
 from conftest import RAW_SETTINGS, FakeHost, GatewayProcesses, LoopbackGateway, asyncio_test, until
 from test_client_ends import PlainClient, connect, request
-from test_host_links import PlainHost
+from test_host_links import PlainHost, receive_command
 from test_large import TERMS, answer, post
 
 from ops import http
@@ -23,6 +23,8 @@
 from saffrongw import config
 from saffrongw import drain as drain_module
 from saffrongw.client import COMMAND_TIMEOUT, LINGER_TIMEOUT, Stage
+from saffrongw.driver import ACKNOWLEDGEMENT_DELAY
+from saffrongw.hosts import CONNECTION_COOLDOWN
 
 VALUE = random.Random(7).randbytes(4_000_000)
 REPLY = b"$%d\r\n%b\r\n" % (len(VALUE), VALUE)
@@ -249,13 +251,35 @@
     if given_up_by == "client":
         client.transport.abort()
         await until(lambda: not gateway.clients.open)
-    else:
-        await until(lambda: not gateway.hosts.connection_count)
+        await until(lambda: not gateway.hosts.connection_count, 0.5)
+    await until(lambda: not gateway.hosts.connection_count)
     received = await receive_all(sock)
     assert len(received) < len(post(body))
     sock.close()
 
 
+@asyncio_test
+async def test_an_order_that_its_host_has_received_goes_on_where_cancelling_is_not_permitted():
+    """A host's kernel acknowledges what it has received some 40 ms later."""
+    host = PlainHost("a")
+    gateway = LoopbackGateway(host, permissions=RAW_SETTINGS["permissions"] | {"cancel": False})
+    client = await gateway.connect_client()
+    client.send_request("bill")
+    sock = await host.accept()
+    for answered in range(1, 6):  # from the second one on, the kernel acknowledges late
+        await receive_command(sock)
+        await gateway.loop.sock_sendall(sock, b"*1\r\n$2\r\nok\r\n")
+        await client.wait_for_replies(answered)
+        await asyncio.sleep(2 * CONNECTION_COOLDOWN)
+        client.send_request("bill")
+    await receive_command(sock)
+    client.transport.abort()
+    await until(lambda: not gateway.clients.open)
+    await asyncio.sleep(2 * ACKNOWLEDGEMENT_DELAY / 1e6)
+    assert gateway.hosts.connection_count == 1
+    sock.close()
+
+
 @asyncio_test
 async def test_a_retry_is_given_up_if_its_host_has_not_received_it_within_the_window():
     """Only the process's own buffer was looked at: the host got the last byte seconds after the window."""
