--- a/review/stand2/parts.py
+++ b/review/stand2/parts.py
@@ -26,6 +26,17 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 VALUE_MAX = 8 * 1024 * 1024
+CHARGES = (
+    "connection",
+    "crossZone",
+    "discovery",
+    "handshake",
+    "lateFail",
+    "moves",
+    "origin",
+    "peer",
+    "probe",
+)
 
 
 class CannotRun(Exception):
@@ -51,13 +62,7 @@
     return {
         "balancers": gateways,
         "callers": {"marksRetry": True},
-        "charges": {
-            name: 0.0
-            for name in (
-                *("connection", "crossZone", "discovery", "handshake", "lateFail"),
-                *("moves", "origin", "peer", "probe", "waste"),
-            )
-        },
+        "charges": dict.fromkeys((*CHARGES, "waste"), 0.0),
         "classes": classes,
         "discovery": "pushed",
         "familyInfo": {
