--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,10 +1,9 @@
-"""An operator drains the gateway in an upgrade: does it say no from then on?"""
+"""An upgrade while discovery is down, and a host taken out by hand: does it get anything more?"""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import signal
 import sys
 import time
 from pathlib import Path
@@ -26,13 +25,15 @@
     settings,
 )
 
-CLIENTS = 4
-LATEST = 4.0 + 0.05  # seconds after LEAVE, from when a yes breaks the rule
-OBSERVED = 6.0  # seconds after LEAVE
+CLIENTS = 8  # with a kept connection and one request at a time each
+PAUSE = 0.05  # seconds between an answer and the client's next request
+GRACE = 0.25 + 0.05  # seconds: drainGrace, and what each limit on sockets is longer
+OUTAGE = 5.0  # seconds
+BANNED = "s-1"
 
 
 async def scenario(world: World) -> bool:
-    """Return whether the address says no once the drain has had its four seconds."""
+    """Return whether the banned host got nothing new after the grace."""
 
     async def serve(command: list[bytes]) -> bytes:
         await asyncio.sleep(0.02)
@@ -45,65 +46,52 @@
     )
     old = await Gateway(world, "old process", configuration, world.folder / "tmp").start()
     await world.until_ready(old)
-    front_says_yes = asyncio.Event()
-    front_says_yes.set()
+    stopped = asyncio.Event()
+    answers: list[str] = []
 
     async def client(number: int) -> None:
-        """Send requests one by one while the front admits the gateway."""
-        count = 0
-        while True:
-            await front_says_yes.wait()
+        count, writer = 0, None
+        while not stopped.is_set():
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-                reader, writer = await world.connect(old)
-                while front_says_yes.is_set():
-                    count += 1
-                    writer.write(call(f"c{number}-{count}", "reading", 3000, customer=number))
-                    await read_reply(reader)
-                    await asyncio.sleep(0.1)
-                writer.close()
-            await asyncio.sleep(0.02)
+                if writer is None:
+                    reader, writer = await world.connect(old)
+                count += 1
+                writer.write(call(f"c{number}-{count}", "reading", 3000, customer=number))
+                answers.append((await read_reply(reader))[0])
+                await asyncio.sleep(PAUSE)
+                continue
+            writer = None
 
     clients = [asyncio.create_task(client(number)) for number in range(CLIENTS)]
     await asyncio.sleep(1)
+    if TROUBLE:
+        await discovery.set_silent(True)
+    # The upgrade: the same addresses and folder, and a new second address.
     successor = configuration | {"control": f"127.0.0.1:{free_port()}"}
-    new = None
+    new = await Gateway(world, "new process", successor, world.folder / "tmp").start()
+    said_at = 0.0
+    while not said_at:
+        try:
+            if (await new.operator(f"OFFLINE {BANNED}")).startswith("done"):
+                said_at = time.monotonic()
+        except OSError:
+            await asyncio.sleep(0.01)
+        if new.ended:
+            raise CannotRun("the new process has ended")
+    await asyncio.sleep(OUTAGE)
     if TROUBLE:
-        new = await Gateway(world, "new process", successor, world.folder / "tmp").start()
-    answer = await old.operator("LEAVE")
-    left_at = time.monotonic()
-    if not answer.startswith("done"):
-        raise CannotRun(f"LEAVE was answered {answer!r}")
-    late: list[float] = []
-    said_before, ends_at = "", 0.0
-    while (now := time.monotonic()) < left_at + OBSERVED:
-        says = "nothing"
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
-            async with asyncio.timeout(1):
-                reader, writer = await world.connect(old)
-                writer.write(b"*1\r\n$4\r\nPING\r\n")
-                meaning, text = await read_reply(reader)
-                says = "yes" if meaning == "ready" else f"no ({text.decode()})"
-                writer.close()
-        if says != said_before:
-            world.note(f"the front's PING, {now - left_at:.2f} s after LEAVE: {says}")
-            said_before = says
-        if says == "yes":
-            front_says_yes.set()
-            if now > left_at + LATEST:
-                late.append(now - left_at)
-            if new and not ends_at and not new.ended and now > left_at + 0.5:
-                ends_at = now
-                old.signal(signal.SIGTERM)  # as the platform does once the new process says yes
-        else:
-            front_says_yes.clear()
-        await asyncio.sleep(0.1)
-    for task in clients:
-        task.cancel()
+        await discovery.set_silent(False)
+    await asyncio.sleep(1)
+    stopped.set()
     await asyncio.gather(*clients, return_exceptions=True)
-    begun = sum(at > left_at + LATEST for host in hosts for at, _, _ in host.begun)
-    world.note(f"{len(late)} times yes later than {LATEST} s after LEAVE; hosts began {begun} requests then")
-    if new and new.ended:
-        raise CannotRun("the new process has ended")
+    banned = next(host for host in hosts if host.name == BANNED)
+    late = [at - said_at for at, _, _ in banned.begun if at > said_at + GRACE]
+    world.note(f"{answers.count('served')} of {len(answers)} requests served")
+    world.note(f"{BANNED} began {len(late)} requests later than {GRACE:.2f} s after 'done out'")
+    if late:
+        world.note(f"the first {min(late):.3f} s and the last {max(late):.3f} s after it")
+    if not banned.begun:
+        raise CannotRun("the host was not in use before")
     return not late
 
 
