--- a/review/stand2/parts.py
+++ b/review/stand2/parts.py
@@ -8,8 +8,10 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
+import random
 import re
 import resource
 import shutil
@@ -25,6 +27,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+LIBC, PR_SET_PDEATHSIG = ctypes.CDLL(None), 1
 VALUE_MAX = 8 * 1024 * 1024
 CHARGES = (
     "connection",
@@ -43,13 +46,19 @@
     """The case could not run: what it needs did not happen."""
 
 
+def prepare_child(sockets: int) -> None:
+    """Limit a child's descriptors, and have the kernel end it with this process."""
+    resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def free_port() -> int:
-    """Return a port of the loopback address on which nothing listens."""
+    """Return a port of the loopback address on which nothing listens, below the range of outgoing connections."""
     for _ in range(100):
+        port = random.randrange(11_000, 32_000)
         with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
             with contextlib.suppress(OSError):
+                tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
                 return port
     raise CannotRun("no free port")
@@ -319,7 +328,7 @@
             stdin=asyncio.subprocess.DEVNULL,
             stdout=log,
             stderr=log,
-            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)),
+            preexec_fn=lambda: prepare_child(sockets),
         )
         log.close()
         self.world.gateways.append(self)
