--- a/review/stand2/parts.py
+++ b/review/stand2/parts.py
@@ -53,14 +53,17 @@
 
 
 def free_port() -> int:
-    """Return a port of the loopback address on which nothing listens, below the range of outgoing connections."""
+    """Return a port of the loopback address that is free, below the range of outgoing connections."""
     for _ in range(100):
         port = random.randrange(11_000, 32_000)
-        with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-            with contextlib.suppress(OSError):
-                tcp.bind(("127.0.0.1", port))
-                udp.bind(("127.0.0.1", port))
-                return port
+        with (
+            contextlib.suppress(OSError),
+            socket.socket() as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+        ):
+            tcp.bind(("127.0.0.1", port))
+            udp.bind(("127.0.0.1", port))
+            return port
     raise CannotRun("no free port")
 
 
