Review case 8: orders behind a long answer that breaks run and are never answered

Three clients with three orders each behind a value of 1 MB whose host resets: nine orders ran, none was answered. With TROUBLE=0 all nine were.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,10 +1,9 @@
-"""Clients read long answers slowly: does the gateway stay within its memory?"""
+"""A host breaks off within a long answer: are the orders answered that the same client had sent behind it?"""
 
 from __future__ import annotations
 
 import asyncio
-import signal
-import socket
+import contextlib
 import sys
 import time
 from pathlib import Path
@@ -20,83 +19,92 @@
     call,
     main,
     plan,
+    read_command,
     request_class,
     settings,
 )
 
-MEMORY_MB, SOCKETS = 64, 1024  # within the terms: 32 to 192 MB, 256 to 1,024 descriptors
-CLIENTS = 240  # with one request each; the terms allow them a third of the descriptors, 341
-VALUE = bytes(4 * 1024 * 1024)
-PIECE, PAUSE = 16 * 1024, 0.125  # a slow client reads this much at a time: 128 KiB a second
-SPACING = 0.03  # seconds between two clients' requests
-OBSERVED = 25.0  # seconds
+VALUE, PART = 1_000_000, 300_000  # bytes: of the long value, and of what its host sends before the reset
+ORDERS, READING_D, ORDER_D = 3, 2000, 4000  # milliseconds
+LATEST = 0.5 + 0.05  # seconds after its time, by when a request has to have its final answer
+WORK = 0.2  # seconds that an order takes
+CLIENTS = 3  # one after another, with one connection each
+
+
+class BreakingHost(Host):
+    """A host whose connection is reset within a long answer."""
+
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                command = await read_command(reader)
+                request = command[2].decode()
+                self.begun.append((time.monotonic(), request, command))
+                self.world.note(f"host {self.name} begins {request}")
+                is_long = request.startswith("long")
+                await asyncio.sleep(0.02 if is_long else WORK)
+                value = bytes(VALUE) if is_long else b"done"
+                answer = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$7\r\nqps=8.0\r\n" % (len(value), value)
+                if is_long and TROUBLE:
+                    writer.write(answer[:PART])
+                    await writer.drain()
+                    await asyncio.sleep(0.05)
+                    self.world.note(f"host {self.name} resets its connection within the answer to {request}")
+                    break
+                writer.write(answer)
+                await writer.drain()
+        writer.transport.abort()
 
 
 async def scenario(world: World) -> bool:
-    """Return whether the process lived on within its memory limit."""
+    """Return whether each order got a final answer."""
 
-    async def serve(command: list[bytes]) -> bytes:
-        await asyncio.sleep(0.05)
-        return VALUE
+    async def unused(command: list[bytes]) -> bytes:
+        return b""
 
-    hosts = [await Host(world, f"s-{number}", serve).listen() for number in range(8)]
+    hosts = [await BreakingHost(world, f"s-{number}", unused).listen() for number in range(4)]
     discovery = await Discovery(world, hosts).listen()
+    order = request_class("order", "once", deadline_ms=10_000)
     configuration = world.configuration(
-        discovery,
-        settings([request_class("reading", deadline_ms=3000)], [plan("domestic")]),
-        limits={"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
+        discovery, settings([request_class("reading", deadline_ms=3000), order], [plan("domestic")])
     )
     gateway = await Gateway(world, "gateway", configuration, world.folder / "tmp").start()
     await world.until_ready(gateway)
-    ends: list[str] = []
-
-    async def read(number: int) -> None:
-        await asyncio.sleep(SPACING * number)
-        loop = asyncio.get_running_loop()
-        with socket.socket() as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32 * 1024)
-            sock.setblocking(False)
-            try:
-                host, port = configuration["listen"].split(":")
-                await loop.sock_connect(sock, (host, int(port)))
-                await loop.sock_sendall(sock, call(f"r{number}", "reading", 3000, customer=number))
-                received, head = 0, b""
-                while data := await loop.sock_recv(sock, PIECE if TROUBLE else 256 * 1024):
-                    received += len(data)
-                    head = (head + data)[:16]
-                    if head[:1] == b"-" or received >= len(VALUE):
-                        ends.append("served" if received >= len(VALUE) else head.decode().strip())
-                        return
-                    if TROUBLE:
-                        await asyncio.sleep(PAUSE)
-                ends.append(f"end of the stream after {received} bytes")
-            except OSError as error:
-                ends.append(f"{error!r}")
+    lost: list[str] = []
 
-    clients = [asyncio.create_task(read(number)) for number in range(CLIENTS)]
-    most, is_over = 0.0, False
-    limit = time.monotonic() + OBSERVED
-    while time.monotonic() < limit and not gateway.ended and not all(task.done() for task in clients):
-        memory = gateway.memory_mb()
-        if memory > most + 2:
-            most = memory
-            world.note(f"the gateway's process holds {memory:.1f} MB of {MEMORY_MB}")
-        if memory > MEMORY_MB and not is_over:
-            is_over = True
-            world.note("over its memory limit: the platform kills the gateway")
-            gateway.signal(signal.SIGKILL)
-            await asyncio.sleep(1)
-        await asyncio.sleep(0.05)
-    for task in clients:
-        task.cancel()
-    await asyncio.gather(*clients, return_exceptions=True)
-    for end in sorted(set(ends)):
-        world.note(f"{ends.count(end)} clients: {end}")
-    begun = sum(len(host.begun) for host in hosts)
-    world.note(f"most memory {most:.1f} MB of {MEMORY_MB}, {begun} requests run by hosts")
-    if begun < CLIENTS // 2 and not is_over:
-        raise CannotRun("too few requests reached the hosts")
-    return not (is_over or gateway.ended)
+    for client in range(CLIENTS):
+        reader, writer = await world.connect(gateway)
+        orders = [f"order{client}-{number}" for number in range(ORDERS)]
+        commands = [call(f"long{client}", "reading", READING_D, customer=client)]
+        commands += [
+            call(name, "order", ORDER_D, body=b"x", customer=10 * client + number + 1)
+            for number, name in enumerate(orders)
+        ]
+        writer.write(b"".join(commands))
+        written = time.monotonic()
+        world.note(f"client {client} sends a reading and {ORDERS} orders at once")
+        received, is_ended = b"", False
+        with contextlib.suppress(TimeoutError, ConnectionError):
+            async with asyncio.timeout(ORDER_D / 1000 + LATEST):
+                while received.count(b"$4\r\ndone\r\n") + received.count(b"\r\n-") < ORDERS:
+                    data = await reader.read(1 << 20)
+                    if not data:
+                        is_ended = True
+                        break
+                    received += data
+        await asyncio.sleep(max(0.0, written + 1.5 - time.monotonic()))
+        answered = received.count(b"$4\r\ndone\r\n") + received.count(b"\r\n-")
+        run = [name for host in hosts for _, name, _ in host.begun if name in orders]
+        how = "the gateway ended the connection" if is_ended else "the connection is open"
+        world.note(f"client {client}: {len(received)} bytes, {answered} of {ORDERS} orders answered, {how}")
+        world.note(f"client {client}: hosts ran {', '.join(run) or 'no order'}")
+        if answered < ORDERS:
+            lost += orders[answered:]
+        writer.close()
+    if gateway.ended:
+        raise CannotRun("the gateway has ended")
+    world.note(f"{len(lost)} orders without a final answer")
+    return not lost
 
 
 main(__file__, scenario)
