--- a/review/7/case.py
+++ b/review/7/case.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import contextlib
+import fcntl
+import struct
 import sys
+import termios
 import time
 from pathlib import Path
 
@@ -29,6 +32,13 @@
 ORDERS, BODY, D = 4, 100_000, 480  # bytes, milliseconds
 LATEST = 0.5 + 0.05  # seconds after its time, by when a request has to have its final answer
 WORK = 0.05  # seconds
+WRITTEN_WITHIN = 0.2  # seconds
+
+
+def unacknowledged(writer: asyncio.StreamWriter) -> int:
+    """Return how many bytes the other side's machine has not acknowledged yet."""
+    reply = fcntl.ioctl(writer.get_extra_info("socket").fileno(), termios.TIOCOUTQ, bytes(4))
+    return struct.unpack("i", reply)[0]
 
 
 async def scenario(world: World) -> bool:
@@ -72,10 +82,15 @@
         request = f"order{number}"
         writer.write(call(request, "order", D, body=bytes(BODY), key=request, customer=number))
         await writer.drain()
-        while writer.transport.get_write_buffer_size():
+        sent = time.monotonic()
+        while writer.transport.get_write_buffer_size() or unacknowledged(writer):
+            if time.monotonic() > sent + WRITTEN_WITHIN:
+                raise CannotRun(
+                    "the gateway's machine does not take an order while its process does not read"
+                )
             await asyncio.sleep(0.001)
-        written = time.monotonic()
-        world.note(f"{request} is written to its last byte, d={D}")
+        written = time.monotonic()  # the gateway's machine has acknowledged all bytes
+        world.note(f"the gateway's machine has {request} to its last byte, d={D}")
         answer = "none"
         with contextlib.suppress(TimeoutError, asyncio.IncompleteReadError, ConnectionError):
             async with asyncio.timeout(5):
