Free an answered request and its body at once instead of leaving them to the collector

Cause: request, slot and attempts referred to each other (Slot.call, Call.sink and Call.answer, Call.attempts and Attempt.call), and nothing undid that at the answer. Python's collector counts objects, not bytes. The body's memory was given back in the books alone.

Why it works: Call.finish drops command, body and slot at the final answer, Call.release timers and attempts when the last one ends; what an answered request is still sending is given up. The executor of commands, which made a cycle with each connection, is one for all.

--- a/saffrongw/calls.py
+++ b/saffrongw/calls.py
@@ -63,9 +63,18 @@
 Body = tuple[bytes, ...]  # a large body, in the chunks in which it was received
 
 
+def _discard_reply(reply: bytes) -> None:
+    """Take a reply that nobody waits for."""
+
+
 @dataclass(slots=True, eq=False)
 class Call:
-    """A client's request: the command to send to hosts, its attempts and its state."""
+    """A client's request: the command to send to hosts, its attempts and its state.
+
+    It refers to the slot that waits for its answer and to its attempts, which refer to it. ``finish`` and
+    ``release`` undo these cycles, so that its body is freed at once and not by the garbage collector, which
+    counts objects instead of bytes and may not run for minutes.
+    """
 
     event: api.RequestArrived
     # Command, customer, id, the terms before and after the value of ``d``, and optionally the body.
@@ -78,6 +87,21 @@
     finished: bool = False
     is_relayed: bool = False  # the successor process decides on it
 
+    @property
+    def has_open_attempts(self) -> bool:
+        """Whether the outcome of an attempt is not known yet."""
+        return not all(attempt.ended for attempt in self.attempts)
+
+    def finish(self) -> None:
+        """Record the final answer, and drop what was needed for it: the command, its body and the slot."""
+        self.finished = True
+        self.parts, self.answer, self.sink = (), _discard_reply, None
+
+    def release(self) -> None:
+        """Drop the timer and the attempts of a finished request, all of which have ended."""
+        self.deadline_timer.cancel()
+        self.attempts.clear()
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -90,7 +114,8 @@
     expires_at: int
     send_by: int = 0  # clock time after which it must not be sent any more; 0: no limit
     list_version: int = 0  # of the host list that was held when it was decided on
-    timer: asyncio.TimerHandle | None = None
+    timer: asyncio.TimerHandle | None = None  # ends it if it has no outcome in time
+    send_timer: asyncio.TimerHandle | None = None  # withdraws it if it is not sent by ``send_by``
     carrier: object = None  # the Connection it was sent on, or the Pool in which it waits for one
     fully_sent: bool = False  # the last byte has left the process: from then on the host may execute it
     outcome: api.Outcome | None = None  # None: it has not ended
@@ -99,3 +124,10 @@
     def ended(self) -> bool:
         """Whether its outcome is known."""
         return self.outcome is not None
+
+    def end(self, outcome: api.Outcome) -> None:
+        """Record the outcome, and stop the timers."""
+        self.outcome = outcome
+        for timer in (self.timer, self.send_timer):
+            if timer:
+                timer.cancel()
--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -15,7 +15,6 @@
 
 from ops.sockets import DeliveryWatch
 
-from .commands import CommandExecutor
 from .request_log import CloseReason
 from .requests import BODY_INDEX
 from .resp import VALUE_BYTES_MAX, Reader
@@ -57,7 +56,6 @@
         self.reader = Reader(
             COMMAND_BYTES_MAX, COMMAND_VALUES_MAX, large_index=BODY_INDEX, large_must_be_last=True
         )
-        self.commands = CommandExecutor(self)
         self.upload: Upload | None = None
         self.slots: deque[Slot] = deque()
         self.held_bytes = 0  # received bytes that are held for unfinished or waiting commands
@@ -232,12 +230,12 @@
                     break
                 command = self.reader.gets(units - used)
                 if self.upload:
-                    if not self.commands.receive_upload():
+                    if not self.clients.commands.receive_upload(self):
                         break
                     executed, has_advanced = executed + 1, True
                 elif command is not False:
                     executed, has_advanced = executed + 1, True
-                    self.commands.execute(command)
+                    self.clients.commands.execute(self, command)
                 elif not self.reader.is_behind:
                     break
             self._check_unfinished(has_advanced)
--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -9,6 +9,7 @@
 import socket
 
 from .client import COMMAND_TIMEOUT, SURPLUS_CONNECTIONS_MAX, Client
+from .commands import CommandExecutor
 from .config import Config
 from .drain import Drain
 from .driver import Driver
@@ -40,6 +41,7 @@
         self.upload_memory = UploadMemory(int(UPLOAD_MEMORY_SHARE * config.memory))
         self.request_memory = MemoryAccount(int(REQUEST_SHARE * config.memory))
         self.waiting_replies = MemoryAccount(int(WAITING_REPLY_SHARE * config.memory))
+        self.commands = CommandExecutor(self)
         self.drain = Drain(self)
         self.server: asyncio.Server | None = None
         self.accepting: set[asyncio.Task[object]] = set()  # accepted connections not yet in ``open``
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -187,7 +187,7 @@
                 self.successor.client_gone(call)
             else:
                 self.feed(api.ClientGone(call.event.request))
-            for attempt in call.attempts:
+            for attempt in list(call.attempts):
                 self._withdraw_after_close(attempt)
 
     def is_wanted(self, attempt: Attempt) -> bool:
@@ -217,10 +217,8 @@
         """Record an attempt's outcome; if it is the first one served, answer before notifying the module."""
         if attempt.ended:
             return
-        attempt.outcome = outcome
+        attempt.end(outcome)
         self.stats["attempt_" + outcome.value.replace(" ", "_")] += 1
-        if attempt.timer:
-            attempt.timer.cancel()
         call = attempt.call
         if value is not None and not call.finished:
             self.stats["served"] += 1
@@ -242,22 +240,23 @@
                 report,
             )
         )
+        self._release_if_ended(call)
 
     def stream_started(self, attempt: Attempt, length: int, source: Source) -> Sink | None:
         """Mark a request as served at the first bytes of a large response.
 
         Return the sink for its chunks, or None if nobody waits for it or its client cannot take a stream.
         """
-        call = attempt.call
-        if attempt.ended or call.finished or call.sink is None:
+        call, sink = attempt.call, attempt.call.sink
+        if attempt.ended or call.finished or sink is None:
             return None
         self.stats["served"] += 1
         self.stats["streamed"] += 1
         self._observe(call, "served", attempt.server)
         self._mark_finished(call)
-        call.sink.begin(length, source)
+        sink.begin(length, source)
         self.attempt_ended(attempt, api.Outcome.SERVED)
-        return call.sink
+        return sink
 
     def apply_host_list(self, host_list: HostList, cached: bool = False) -> None:
         """Apply a list of hosts, whole or as changes; ``cached`` marks the list from the configuration."""
@@ -413,7 +412,7 @@
         )
         call.attempts.append(attempt)
         if action.send_by:
-            self._call_at(action.send_by, self._withdraw, attempt)
+            attempt.send_timer = self._call_at(action.send_by, self._withdraw, attempt)
         if expires_at < call.deadline:  # otherwise the call's deadline timer ends it, which saves a timer
             attempt.timer = self._call_at(expires_at, self._timed_out, attempt)
         if self.successor:
@@ -472,8 +471,9 @@
     def _finish(self, call: Call, reply: bytes) -> None:
         """Send a request's final answer, unless it has one already."""
         if not call.finished:
+            answer = call.answer
             self._mark_finished(call)
-            call.answer(reply)
+            answer(reply)
 
     def _observe(
         self, call: Call, outcome: str, server: api.Server = b"", cause: api.Cause | None = None
@@ -487,12 +487,27 @@
             self.request_log.request_finished(call, outcome, cause, arrived_at, now)
 
     def _mark_finished(self, call: Call) -> None:
-        call.finished = True
-        if all(attempt.ended for attempt in call.attempts):
-            call.deadline_timer.cancel()
-            self.calls.pop(call.event.request, None)
-        else:  # kept for one loop iteration: the module may still cancel its outstanding attempts
-            self.loop.call_soon(self.calls.pop, call.event.request, None)
+        call.finish()
+        if call.has_open_attempts:  # kept for one loop iteration: the module may still cancel them
+            self.loop.call_soon(self._forget, call)
+        else:
+            self._forget(call)
+
+    def _forget(self, call: Call) -> None:
+        """Forget a finished request. Attempts that its hosts have received go on, the others are given up.
+
+        What is still being sent would hold the memory of the request's body.
+        """
+        self.calls.pop(call.event.request, None)
+        for attempt in list(call.attempts):
+            if not attempt.fully_sent:
+                self._withdraw(attempt)
+        self._release_if_ended(call)
+
+    def _release_if_ended(self, call: Call) -> None:
+        """Free the last objects of a finished request once its last attempt has ended."""
+        if call.finished and not call.has_open_attempts:
+            call.release()
 
     def _withdraw_after_close(self, attempt: Attempt) -> None:
         """Give up an attempt of a client that has gone, unless its host has received it.
@@ -523,7 +538,7 @@
 
     def _deadline_passed(self, call: Call) -> None:
         """End a request's attempts at its deadline, and fail it if the module has not answered it."""
-        for attempt in call.attempts:
+        for attempt in list(call.attempts):
             self._timed_out(attempt)
         if not call.finished:
             log.warning("request_unanswered", request=call.parts[2], customer=f"{call.event.customer:016x}")
--- a/saffrongw/host_connection.py
+++ b/saffrongw/host_connection.py
@@ -153,7 +153,7 @@
         if malformed or is_early:  # requests and responses can no longer be matched
             self.close(CloseReason.MALFORMED)
         else:
-            self.attempt = None
+            self.attempt = self.large = None
             hosts.streams.pop(self, None)
             self.resume()  # the client may have paused it in the piece that completed the response
             self.pool.release(self)
@@ -237,7 +237,7 @@
         if self.stage is Stage.IDLE:
             self.pool.idle.remove(self)
         self.pool.opening -= self.stage is Stage.OPENING
-        self.stage, self.attempt = Stage.CLOSED, None
+        self.stage, self.attempt, self.large = Stage.CLOSED, None, None
         self.pool.hosts.connection_count -= 1
         self.reader.discard()
         self._count_held_bytes()
