Hold back a large value while requests stand behind it, and read none while one passes

Cause: a value over 64 KiB was passed on from its first bytes, whatever stood behind it, and what was read behind it was begun at once.

Change: StreamedReply (new module) with its stages waiting, held, passed on. With anything behind it a value is kept in counted memory until it is whole, at the latest 0.3 s after its request's time; with nothing behind it passes on and its client is not read from until its end. Weighed: to begin nothing behind an answer that may be large would run all commands sent at once one after another, and leave those that were read without an answer. To keep each value whole costs every client the first bytes' time. Held values cost up to 4 MiB each, bounded by the share for waiting answers, and fail beyond it. A value that is slower than its request's time and has requests behind it fails now.

Mended with it, as the same code gave the value up: one given up for lack of memory in the piece that completed it closed its host's connection twice, so that the count of connections fell below zero.

The suites of clients, hosts, large values, upgrades and completion pass.

--- a/saffrongw/calls.py
+++ b/saffrongw/calls.py
@@ -41,11 +41,18 @@
         """Discard the rest, which nobody will read."""
 
 
-class Sink(Protocol):
-    """Consumer of a streamed response: a client connection."""
+class ClientSlot(Protocol):
+    """The place of a request's answer on its client's connection."""
+
+    def begin(self, length: int, source: Source) -> Sink | None:
+        """Start a streamed response of ``length`` bytes; return what takes it, if it can be taken."""
+
+    def is_client_gone(self) -> bool:
+        """Return whether the client has closed its connection, even if the event loop has not noticed yet."""
 
-    def begin(self, length: int, source: Source) -> None:
-        """Start a response of ``length`` bytes."""
+
+class Sink(Protocol):
+    """Consumer of a streamed response."""
 
     def write(self, data: bytes) -> None:
         """Take the next chunk."""
@@ -56,9 +63,6 @@
     def fail(self) -> None:
         """Abort the response, as the rest of it will not come."""
 
-    def is_client_gone(self) -> bool:
-        """Return whether the client has closed its connection, even if the event loop has not noticed yet."""
-
 
 Body = tuple[bytes, ...]  # a large body, in the chunks in which it was received
 
@@ -81,7 +85,7 @@
     parts: tuple[bytes | Body, ...]
     deadline: int  # clock time by which it must be answered
     answer: Callable[[bytes], None]
-    sink: Sink | None = None  # for streamed responses; None for a request relayed by another process
+    slot: ClientSlot | None = None  # where its client waits; None for a request relayed by another process
     attempts: list[Attempt] = field(default_factory=list)
     deadline_timer: asyncio.TimerHandle | None = None
     finished: bool = False
@@ -95,7 +99,7 @@
     def finish(self) -> None:
         """Record the final answer, and drop what was needed for it: the command, its body and the slot."""
         self.finished = True
-        self.parts, self.answer, self.sink = (), _discard_reply, None
+        self.parts, self.answer, self.slot = (), _discard_reply, None
 
     def release(self) -> None:
         """Drop the timer and the attempts of a finished request, all of which have ended."""
--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -19,6 +19,7 @@
 from .requests import BODY_INDEX
 from .resp import VALUE_BYTES_MAX, Reader
 from .response_slots import Slot
+from .streamed_reply import StreamedReply
 from .uploads import UPLOAD_RESUME_TIMEOUT, Upload
 
 if TYPE_CHECKING:
@@ -99,8 +100,8 @@
         """
         self._begin_delivery_watch()
         self._count_unsent_bytes()
-        if self.slots and self.slots[0].source:
-            self.slots[0].source.pause()
+        if self.slots and (stream := self.slots[0].stream):
+            stream.set_client_reads(False)
         self._pause_reading()
 
     def resume_writing(self) -> None:
@@ -108,8 +109,8 @@
         if self.stage is not Stage.HALF_CLOSED:  # then the kernel's part of the responses is waited for, too
             self.stalled_since = 0.0
         self._count_unsent_bytes()
-        if self.slots and self.slots[0].source:
-            self.slots[0].source.resume()
+        if self.slots and (stream := self.slots[0].stream):
+            stream.set_client_reads(True)
         self._continue()
 
     def _begin_delivery_watch(self) -> None:
@@ -126,8 +127,13 @@
     def _lacks_memory(self) -> bool:
         return self.upload is not None and not self.upload.has_memory
 
+    def _is_passing_on(self) -> bool:
+        """Return whether a part of a large value has been written: what is behind one that breaks is lost."""
+        return bool(self.slots) and self.slots[0].begun
+
     def _must_pause_reading(self) -> bool:
-        return self.stalled_since > 0 or len(self.slots) >= PIPELINE_MAX or self._lacks_memory()
+        is_full = len(self.slots) >= PIPELINE_MAX
+        return self.stalled_since > 0 or is_full or self._lacks_memory() or self._is_passing_on()
 
     def _pause_reading(self) -> None:
         if not self.reading_paused and self.stage is Stage.OPEN:
@@ -392,19 +398,28 @@
 
     def flush(self) -> None:
         """Write all responses that are first in the pipeline and ready."""
-        while self.slots and (slot := self.slots[0]).reply is not None:
+        while self.slots and ((slot := self.slots[0]).begun or slot.may_begin()):
             if not slot.begun:
-                self.write(slot.begin_writing())
+                slot.begin_writing()
                 if self.stalled_since:
                     self._count_unsent_bytes()
-                if slot.source and not self.stalled_since:
-                    slot.source.resume()
-            if slot.source:
+            if slot.stream:
+                self._pass_on(slot.stream)
                 break
             self.slots.popleft()
         self._continue()  # resumes reading if it was paused, as the pipeline may have been full
         self.close_if_idle()
 
+    def _pass_on(self, stream: StreamedReply) -> None:
+        """Have a value pass to the client as it comes, and read no more commands meanwhile."""
+        self._pause_reading()
+        stream.set_client_reads(not self.stalled_since)
+
+    def has_nothing_behind(self, slot: Slot) -> bool:
+        """Return whether the slot is the last one, and no part of a further command has arrived."""
+        is_last = self.slots[-1] is slot
+        return is_last and not self.upload and self.reader.at_boundary and not self._has_unread_bytes()
+
     def is_idle(self) -> bool:
         """Return whether no request is in flight, buffered or unread, and the client reads its responses.
 
@@ -463,9 +478,8 @@
         seconds_unobserved = self.clients.driver.loop.time() - self.last_seen if self.reading_paused else 0.0
         for slot in slots:
             slot.release_memory()
-            source, slot.source = slot.source, None
-            if source:
-                source.abort()
+            if slot.stream:
+                slot.stream.abort()
             elif slot.call:
                 self.clients.driver.client_gone(slot.call, seconds_unobserved)
 
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -15,7 +15,7 @@
 from orchidlane import interface as api
 from orchidlane.rules import Gateway
 
-from .calls import Attempt, Body, Call, Sink, Source, Terms
+from .calls import Attempt, Body, Call, ClientSlot, Sink, Source, Terms
 from .clock import Clock
 from .config import HostList
 from .readiness import Readiness
@@ -139,7 +139,7 @@
         terms: Terms,
         parts: tuple[bytes | Body, ...],
         answer: Callable[[bytes], None],
-        sink: Sink | None = None,
+        slot: ClientSlot | None = None,
     ) -> Call:
         """Register a completely received request and have it decided on, here or by the successor.
 
@@ -159,7 +159,7 @@
             terms.set_size,
             terms.is_repeat,
         )
-        call = Call(event, parts, self.clock() + time_left, answer, sink)
+        call = Call(event, parts, self.clock() + time_left, answer, slot)
         self.calls[self.last_request_number] = call
         call.deadline_timer = self._call_at(call.deadline, self._deadline_passed, call)
         if self.successor:
@@ -201,7 +201,7 @@
         call = attempt.call
         if call.finished:
             self._withdraw(attempt)  # another attempt was served while this one waited for a connection
-        elif call.sink and call.sink.is_client_gone():
+        elif call.slot and call.slot.is_client_gone():
             self.client_gone(call)  # ends the attempt
         elif not self.hosts.accepts_requests(attempt.server):
             self._withdraw(attempt)
@@ -247,14 +247,14 @@
 
         Return the sink for its chunks, or None if nobody waits for it or its client cannot take a stream.
         """
-        call, sink = attempt.call, attempt.call.sink
-        if attempt.ended or call.finished or sink is None:
+        call, slot = attempt.call, attempt.call.slot
+        if attempt.ended or call.finished or slot is None:
             return None
         self.stats["served"] += 1
         self.stats["streamed"] += 1
         self._observe(call, "served", attempt.server)
         self._mark_finished(call)
-        sink.begin(length, source)
+        sink = slot.begin(length, source)
         self.attempt_ended(attempt, api.Outcome.SERVED)
         return sink
 
--- a/saffrongw/host_connection.py
+++ b/saffrongw/host_connection.py
@@ -143,7 +143,8 @@
         except hiredis.ProtocolError:
             reply, malformed = None, True
         attempt = self.attempt
-        if reply is False and not is_early:
+        is_unfinished = reply is False and not is_early
+        if is_unfinished or self.stage is Stage.CLOSED:  # closed: the value was given up with this piece
             return
         sink = self.sink
         # Ended only with the whole response, which may be cut off after the complete large value.
--- a/saffrongw/metrics.py
+++ b/saffrongw/metrics.py
@@ -58,6 +58,8 @@
     "relayed": "Requests relayed to the successor of an upgrade",
     "failed_no_room": "Answers replaced by an error, as too much waited behind others",
     "streamed": "Large answers streamed to clients",
+    "stream_held": "Large answers held back until they were whole, as other requests were behind them",
+    "stream_held_too_long": "Large answers held back and not whole when their request's time was over",
     "stream_broken": "Large answers that a host did not complete",
     "upload_waited": "Clients whose reading was paused until memory for their large body was free",
     "client_accepted": "Client connections accepted",
--- a/saffrongw/response_slots.py
+++ b/saffrongw/response_slots.py
@@ -6,7 +6,7 @@
 
 from .calls import Call, Source
 from .driver import FAILED_REPLY
-from .resp import CRLF
+from .streamed_reply import StreamedReply
 
 if TYPE_CHECKING:
     from .client import Client
@@ -15,16 +15,16 @@
 class Slot:
     """Position of one command's response in a connection's pipeline."""
 
-    __slots__ = ("begun", "body_bytes", "call", "client", "held_bytes", "reply", "request_bytes", "source")
+    __slots__ = ("begun", "body_bytes", "call", "client", "held_bytes", "pieces", "request_bytes", "stream")
 
     def __init__(self, client: Client) -> None:
         self.client = client
-        self.reply: bytes | None = None  # bytes of the response that are ready but not yet written
+        self.pieces: list[bytes] = []  # of the response, which are ready but not yet written
         self.held_bytes = 0  # of them, as counted
         self.call: Call | None = None
         self.request_bytes = 0  # of the request, as counted, besides a large body
         self.body_bytes = 0  # upload memory that the request's large body occupies
-        self.source: Source | None = None  # host connection that still delivers a streamed response
+        self.stream: StreamedReply | None = None  # a large value that is not complete
         self.begun = False  # the first bytes of the response have been written
 
     def answer(self, reply: bytes) -> None:
@@ -32,24 +32,30 @@
 
         One that has to wait is replaced by an error if too many bytes wait on all connections.
         """
-        self.reply = reply
+        self.pieces = [reply]
         self.release_request()
         self.client.flush()
-        if not self.begun and not self.client.is_write_closed():
+        if not (self.begun or self.stream or self.client.is_write_closed()):
             self._count_held_bytes()
             self._drop_reply_without_memory()
 
-    def begin_writing(self) -> bytes:
-        """Return the bytes that are ready, which are written now, even if the client does not read them."""
+    def may_begin(self) -> bool:
+        """Return whether the response may be written, once it is the first one of its connection."""
+        return bool(self.pieces) and (self.stream is None or self.stream.may_begin())
+
+    def begin_writing(self) -> None:
+        """Write the bytes that are ready, even if the client does not read them."""
         if self.client.stalled_since:
             self._drop_reply_without_memory()
         self.begun = True
         self._release_reply()
-        return self.reply
+        pieces, self.pieces = self.pieces, []
+        for piece in pieces:
+            self.client.write(piece)
 
     def _drop_reply_without_memory(self) -> None:
-        if not self.source and self._lacks_memory():
-            self.reply = FAILED_REPLY
+        if not self.stream and self.lacks_memory():
+            self.pieces = [FAILED_REPLY]
             self._count_held_bytes()
             self.client.clients.driver.stats["failed_no_room"] += 1
 
@@ -71,51 +77,48 @@
         self._release_reply()
 
     def _release_reply(self) -> None:
-        self.client.clients.waiting_replies.change(self.held_bytes, 0)
-        self.held_bytes = 0
+        self._count(0)
 
     def _count_held_bytes(self) -> None:
-        held_before, self.held_bytes = self.held_bytes, len(self.reply)
-        self.client.clients.waiting_replies.change(held_before, self.held_bytes)
+        self._count(self._ready_bytes())
+
+    def _count(self, held_bytes: int) -> None:
+        held_before, self.held_bytes = self.held_bytes, held_bytes
+        self.client.clients.waiting_replies.change(held_before, held_bytes)
+
+    def _ready_bytes(self) -> int:
+        return sum(map(len, self.pieces))
 
-    def _lacks_memory(self) -> bool:
-        return self.client.clients.waiting_replies.is_exceeded and len(self.reply) > len(FAILED_REPLY)
+    def lacks_memory(self) -> bool:
+        """Return whether too many bytes wait on all connections for this response to wait, too."""
+        return self.client.clients.waiting_replies.is_exceeded and self._ready_bytes() > len(FAILED_REPLY)
 
     # -- streamed responses
 
-    def begin(self, length: int, source: Source) -> None:
-        """Start a streamed response; the source is paused until this slot is first in the pipeline."""
-        self.source = source
+    def begin(self, length: int, source: Source) -> StreamedReply | None:
+        """Start a streamed response; return what takes its chunks, or None if there is no room for it."""
+        self.stream = StreamedReply(self, length, source)
         self.answer(b"$%d\r\n" % length)
+        return self.stream
 
-    def write(self, data: bytes) -> None:
-        """Write a chunk, or buffer it and pause the source while earlier responses are pending."""
-        if self.begun:
-            self.client.write(data)
-            return
-        self.reply += data
-        self._count_held_bytes()
-        self.source.pause()
-        if self._lacks_memory():
-            self.client.clients.driver.stats["failed_no_room"] += 1
-            self.source.abort()  # calls ``fail``
+    def reserve(self, size: int) -> bool:
+        """Count so many bytes, as they will be held; return False if there is no room for them."""
+        if self.client.clients.waiting_replies.lacks(size - self.held_bytes):
+            return False
+        self._count(size)
+        return True
 
-    def end(self) -> None:
-        """Complete a streamed response."""
-        self.write(CRLF)
-        self.source = None
-        self.client.flush()
+    def add(self, data: bytes) -> None:
+        """Keep a chunk of a streamed response that may not be written yet."""
+        self.pieces.append(data)
+        self._count(max(self.held_bytes, self._ready_bytes()))
 
     def is_client_gone(self) -> bool:
         """Return whether the client has closed, even if its FIN is still unread in the socket."""
         return self.client.transport.is_closing() or self.client.client_has_closed()
 
-    def fail(self) -> None:
-        """Abort a streamed response so that the client cannot mistake the part it has for the whole."""
-        self.source = None
-        if self.client.is_write_closed():
-            return
-        self.client.clients.driver.stats["stream_broken"] += 1
+    def stream_failed(self) -> None:
+        """Answer a streamed response that broke off, or end the connection if it has been begun."""
         if self.begun:
             self.client.half_close()
         else:  # nothing was written yet: an error response keeps the connection open for the other slots
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -465,7 +465,7 @@
 
 
 def wait_in_slots(gateway: LoopbackGateway) -> int:
-    return sum(len(slot.reply or b"") for client in gateway.clients.open for slot in client.slots)
+    return sum(sum(map(len, slot.pieces)) for client in gateway.clients.open for slot in client.slots)
 
 
 @pytest.mark.parametrize("size", [60_000, 250_000])
