Draw all held memory from one budget, and bound what a slow reader of a value takes

Cause: a stream kept up to a whole read of its host (256 KiB) in its client's write buffer, and nothing bounded the sum. Four shares of a fifth of the whole limit each, beside a process of 27 MB, pass it by construction. After a burst the allocator kept 25 MB free.

Change: MemoryBudget is the limit less a margin and less what the process needs, measured before its first client; every account draws from it. A stream reserves 48 KiB or fails with nothing written. Reads of a host are 16 KiB once its client does not keep up or memory is short. What is resident and not counted is taken off, and malloc_trim returns free memory. A body that can never be held gets -BUSY at once; a held value waits for room. In an upgrade each process takes off the other one's memory.

--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -33,6 +33,7 @@
 COMMAND_UNITS = 32  # work of executing a command, in the units of the input scheduler
 SURPLUS_CONNECTIONS_MAX = 16  # connections beyond the limit that get an error response; more are reset
 RECEIVE_BUFFER_BYTES = 256 * 1024  # SO_RCVBUF of a client's socket
+WRITE_BUFFER_BYTES = 16 * 1024  # unsent in this process, from which on a client counts as not reading
 
 # Timeouts, in seconds.
 COMMAND_TIMEOUT = 2.2  # for the first command, for the rest of one, or for more of a large body
@@ -83,6 +84,7 @@
         transport.get_extra_info("socket").setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
         )
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         excess = self.clients.connection_opened(self)
         self.is_surplus = excess > 0
         if excess > SURPLUS_CONNECTIONS_MAX:  # keeps descriptors free for hosts and discovery
@@ -118,12 +120,27 @@
         self.delivery.has_progressed(self.transport)
 
     def _count_unsent_bytes(self) -> None:
-        """Count the responses that a client leaves unread; those of a client that reads are soon sent."""
+        """Count the responses that a client leaves unread; those of a client that reads are soon sent.
+
+        Those of a value that is passed on are counted by its stream.
+        """
         unsent_before, self.unsent_bytes = self.unsent_bytes, 0
+        unsent = 0
         if self.stalled_since and not self.transport.is_closing():
-            self.unsent_bytes = self.transport.get_write_buffer_size()
+            unsent = self.transport.get_write_buffer_size()
+        if self.slots and (stream := self.slots[0].stream):
+            stream.count_unsent(unsent)
+        else:
+            self.unsent_bytes = unsent
         self.clients.waiting_replies.change(unsent_before, self.unsent_bytes)
 
+    def reserved_unused_bytes(self) -> int:
+        """Return how much of the memory that is counted for this client it does not hold yet."""
+        unused = self.upload.bytes_reserved if self.upload else 0
+        if self.slots and (stream := self.slots[0].stream):
+            unused += stream.reserved_unused_bytes
+        return unused
+
     def _lacks_memory(self) -> bool:
         return self.upload is not None and not self.upload.has_memory
 
@@ -200,7 +217,7 @@
 
     def _count_held_bytes(self) -> None:
         held_before, self.held_bytes = self.held_bytes, self.reader.held_bytes
-        self.clients.held_bytes += self.held_bytes - held_before
+        self.clients.input_memory.change(held_before, self.held_bytes)
 
     def _discard_input(self) -> None:
         """Drop received bytes, as no more commands are read."""
@@ -260,7 +277,8 @@
         self._count_held_bytes()
         if self.held_bytes > COMMAND_BYTES_MAX:
             raise hiredis.ProtocolError("command too long")
-        if self.reader.unparsed_bytes and self.clients.held_bytes > COMMAND_BYTES_MAX_ALL:
+        input_bytes_max = min(COMMAND_BYTES_MAX_ALL, self.clients.input_memory.limit)
+        if self.reader.unparsed_bytes and self.clients.held_bytes > input_bytes_max:
             raise hiredis.ProtocolError("too much is unfinished")
         if self.reader.at_boundary:
             self.waiting_since = 0.0
@@ -275,6 +293,8 @@
         arrived meanwhile is read between the two.
         """
         self._check_unread(cutoff)
+        if self.slots and self.slots[0].stream:
+            self.flush()  # a value that waits for memory may begin
         if self.stage is not Stage.HALF_CLOSED:
             self._check_gone()
             self._check_overdue(cutoff)
--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -14,9 +14,18 @@
 from .drain import Drain
 from .driver import Driver
 from .input_scheduler import InputScheduler
-from .memory import REQUEST_SHARE, WAITING_REPLY_SHARE, MemoryAccount
+from .memory import (
+    HEADROOM_SHARE,
+    INPUT_SHARE,
+    STREAM_SHARE,
+    WAITING_REPLY_SHARE,
+    MemoryAccount,
+    MemoryBudget,
+    MemoryMonitor,
+    RequestMemory,
+)
 from .request_log import CloseReason
-from .uploads import UPLOAD_MEMORY_SHARE, UploadMemory
+from .uploads import UploadMemory
 
 # Length of the accept queue. A client that overflows it may believe it is connected and wait for ever.
 LISTEN_BACKLOG = 1024
@@ -30,17 +39,28 @@
 class Clients:
     """All client connections."""
 
-    def __init__(self, driver: Driver, config: Config, max_connections: int) -> None:
+    def __init__(
+        self,
+        driver: Driver,
+        config: Config,
+        max_connections: int,
+        budget: MemoryBudget | None = None,
+        memory_monitor: MemoryMonitor | None = None,
+    ) -> None:
+        """Without ``memory_monitor`` the budget relies on what is counted."""
         self.driver, self.config, self.max_connections = driver, config, max_connections
+        self.budget = budget or MemoryBudget(config.memory)
+        self.memory_monitor = memory_monitor
         self.open: dict[Client, None] = {}  # least recently used first
         self.half_closed: dict[Client, None] = {}  # the one half-closed longest first
         self.scheduler = InputScheduler(driver.loop)
         self.shared_buffer = memoryview(bytearray(RECEIVE_BYTES))  # for the connection that is being read
-        self.held_bytes = 0  # of all clients' unfinished and waiting commands
         self.sweep_due = math.inf  # loop time of the next sweep
-        self.upload_memory = UploadMemory(int(UPLOAD_MEMORY_SHARE * config.memory))
-        self.request_memory = MemoryAccount(int(REQUEST_SHARE * config.memory))
-        self.waiting_replies = MemoryAccount(int(WAITING_REPLY_SHARE * config.memory))
+        self.upload_memory = UploadMemory(self.budget)
+        self.input_memory = MemoryAccount(self.budget, INPUT_SHARE)  # unfinished and waiting commands
+        self.request_memory = RequestMemory(self.budget)
+        self.waiting_replies = MemoryAccount(self.budget, WAITING_REPLY_SHARE, HEADROOM_SHARE)
+        self.stream_memory = MemoryAccount(self.budget, STREAM_SHARE, HEADROOM_SHARE)
         self.commands = CommandExecutor(self)
         self.drain = Drain(self)
         self.server: asyncio.Server | None = None
@@ -67,8 +87,20 @@
         for client in self.connections():
             client.check_timeouts(cutoff)
             client.close_if_idle()
+        self._check_memory()
+        self.upload_memory.grant_waiting()
         self.driver.loop.call_later(SWEEP_INTERVAL, self._sweep)
 
+    def _check_memory(self) -> None:
+        """Compare the budget with the resident memory of the process."""
+        if self.memory_monitor:
+            self.memory_monitor.check(sum(client.reserved_unused_bytes() for client in self.open))
+
+    @property
+    def held_bytes(self) -> int:
+        """Received bytes of all clients' unfinished and waiting commands."""
+        return self.input_memory.held
+
     @property
     def is_finished(self) -> bool:
         """Whether all requests are answered and all connections are fully closed.
@@ -130,6 +162,10 @@
             "upload_room_kb": self.upload_memory.free // 1024,
             "client_request_kb": self.request_memory.held // 1024,
             "client_waiting_reply_kb": self.waiting_replies.held // 1024,
+            "stream_kb": self.stream_memory.held // 1024,
+            "memory_capacity_kb": self.budget.capacity // 1024,
+            "memory_held_kb": self.budget.held // 1024,
+            "memory_uncounted_kb": self.budget.uncounted // 1024,
         }
 
     def stop_accepting(self) -> None:
--- a/saffrongw/commands.py
+++ b/saffrongw/commands.py
@@ -10,7 +10,7 @@
 from .requests import MalformedRequest, parse
 from .resp import VALUE_BYTES_MAX, LargeValue
 from .response_slots import Slot
-from .uploads import Upload
+from .uploads import Grant, Upload
 
 if TYPE_CHECKING:
     from .client import Client
@@ -41,7 +41,12 @@
             self.clients.driver.stats["client_malformed"] += 1
             return client.reply(b"-ERR %b\r\n" % str(error).encode())
         upload.parts = parts[:-1]
-        if not self.clients.upload_memory.acquire(client, large.length):
+        grant = self.clients.upload_memory.acquire(client, large.length)
+        if grant is Grant.NEVER:
+            upload.discard()
+            self.clients.driver.stats["refused_no_room"] += 1
+            return client.reply(b"-BUSY\r\n")
+        if grant is Grant.LATER:
             self.clients.driver.stats["upload_waited"] += 1
             upload.has_memory = False
             client.waiting_since = 0.0  # the command timeout does not run while the gateway lacks memory
--- a/saffrongw/handover_channel.py
+++ b/saffrongw/handover_channel.py
@@ -62,7 +62,7 @@
         began                    an attempt has started
         ended                    an attempt's outcome
         peer, body               a datagram of another gateway
-        sockets                  numbers of its remaining connections with clients and hosts
+        sockets, memory          numbers of its remaining connections with clients and hosts, resident bytes
 
     From either:
 
--- a/saffrongw/handover_server.py
+++ b/saffrongw/handover_server.py
@@ -29,6 +29,7 @@
     short_path,
 )
 from .peers import Peers
+from .stats import resident_bytes
 
 log = logs.get_logger(__name__)
 
@@ -177,6 +178,7 @@
     def _start_draining(self) -> None:
         log.info("handover_done", requests_left=len(self.driver.calls))
         self.driver.readiness.handed_over = True
+        self.clients.budget.set_other_process(self.clients.budget.own_bytes)
         self.clients.drain.hand_over()
         self.driver.hosts.close_idle()
         self.tasks += [self.loop.create_task(self._receive_messages()), self.loop.create_task(self._drain())]
@@ -186,7 +188,8 @@
             for client in list(self.clients.open):
                 client.close_if_idle()
             client_connections = len(self.clients.open) + len(self.clients.half_closed)
-            self.channel.send(sockets=[client_connections, self.driver.hosts.connection_count])
+            counts = [client_connections, self.driver.hosts.connection_count]
+            self.channel.send(sockets=counts, memory=resident_bytes())
             await asyncio.sleep(POLL_INTERVAL)
         log.info("handover_finished")
         self.channel.writer.close()
--- a/saffrongw/host_connection.py
+++ b/saffrongw/host_connection.py
@@ -64,6 +64,7 @@
         self.sink: Sink | None = None  # where its chunks go
         self.held_bytes = 0  # of a response that is not complete
         self.paused = False
+        self.was_paused = False  # since the response began
         self.last_received_at = 0.0  # when the last chunk of a streamed response was received
         self.idle_since = 0.0
         # Not asyncio's timeout: with event loop lag it would close a connection that is established already.
@@ -104,7 +105,7 @@
 
     def start_attempt(self, attempt: Attempt, now: int) -> None:
         """Write an attempt's request."""
-        self.attempt, attempt.carrier, self.large = attempt, self, None
+        self.attempt, attempt.carrier, self.large, self.was_paused = attempt, self, None, False
         for chunk in pack_request(attempt, now):
             self.transport.write(chunk)
         attempt.fully_sent = not self.transport.get_write_buffer_size() and not self.transport.is_closing()
@@ -119,11 +120,11 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next bytes, whose size bounds what one read takes."""
-        return self.pool.hosts.receive_buffer
+        return self.pool.hosts.receive_buffer(self.sink is not None, self.was_paused)
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take received bytes out of the shared buffer."""
-        self.data_received(bytes(self.pool.hosts.receive_buffer[:nbytes]))
+        self.data_received(bytes(self.pool.hosts.shared_buffer[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Parse a response or a part of it, and report its attempt's outcome once it is complete."""
@@ -205,7 +206,7 @@
     def pause(self) -> None:
         """Apply backpressure to the host, as the client is reading slowly."""
         if not self.paused and not self.transport.is_closing():
-            self.paused = True
+            self.paused = self.was_paused = True
             self.transport.pause_reading()
 
     def resume(self) -> None:
--- a/saffrongw/hosts.py
+++ b/saffrongw/hosts.py
@@ -16,12 +16,15 @@
 from .config import DEFAULT_MEMORY_MB, Address, HostList
 from .driver import Driver
 from .host_connection import Connection, Stage
-from .memory import PARTIAL_REPLY_SHARE, MemoryAccount
+from .memory import MEBIBYTE, PARTIAL_REPLY_SHARE, MemoryAccount, MemoryBudget
 from .request_log import CloseReason
 
 STREAM_IDLE_TIMEOUT = 10.0  # seconds without a byte after which a streamed response is given up
 IDLE_TIMEOUT_SHARE = 0.6  # of the hosts' idle timeout, so that no request meets a connection being closed
-RECEIVE_BYTES = 256 * 1024  # read from a host at once
+# Read from a host at once. A client that reads slowly keeps the last piece in its write buffer.
+RECEIVE_BYTES = 256 * 1024
+RECEIVE_BYTES_STREAM = 64 * 1024  # of a value that is passed on
+RECEIVE_BYTES_SHORT = 16 * 1024  # for such a client, and while memory is short
 SWEEPS_PER_IDLE_TIMEOUT = 10  # checks for idle or stalled connections in one such timeout
 # Seconds before a connection is reused after a response: a duplicate response may follow some milliseconds
 # later, and would be taken for the response to the next request.
@@ -162,14 +165,15 @@
         max_connections: int,
         idle_close: float,
         connect_timeout: float,
-        memory: int = DEFAULT_MEMORY_MB * 1024 * 1024,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self.driver, self.loop, self.report_names = driver, driver.loop, report_names
         self.max_connections, self.connect_timeout = max_connections, connect_timeout
         self.idle_timeout = IDLE_TIMEOUT_SHARE * idle_close
         self.connection_count = 0  # connections that are open or being opened
-        self.partial_replies = MemoryAccount(int(PARTIAL_REPLY_SHARE * memory))
-        self.receive_buffer = memoryview(bytearray(RECEIVE_BYTES))  # for the connection that is being read
+        self.budget = budget or MemoryBudget(DEFAULT_MEMORY_MB * MEBIBYTE)
+        self.partial_replies = MemoryAccount(self.budget, PARTIAL_REPLY_SHARE)
+        self.shared_buffer = memoryview(bytearray(RECEIVE_BYTES))  # for the connection being read
         self.pools: dict[api.Server, Pool] = {}
         self.streams: dict[Connection, None] = {}  # connections with a streamed response
         self._close_idle_connections()
@@ -269,6 +273,16 @@
             "host_waiting": sum(len(pool.waiting) for pool in self.pools.values()),
         }
 
+    def receive_buffer(self, is_stream: bool, was_paused: bool) -> memoryview:
+        """Return the buffer for one read, whose size bounds what a slow client makes the process hold.
+
+        ``is_stream``: a value is received that may be passed on; ``was_paused``: its client has not kept up.
+        """
+        size = RECEIVE_BYTES_STREAM if is_stream else RECEIVE_BYTES
+        if was_paused or not self.budget.is_roomy:
+            size = RECEIVE_BYTES_SHORT
+        return self.shared_buffer[:size]
+
     def make_room(self) -> bool:
         """Return whether another connection may be opened; at the limit, close the one idle longest."""
         if self.connection_count >= self.max_connections:
--- a/saffrongw/process.py
+++ b/saffrongw/process.py
@@ -15,7 +15,7 @@
 from ops import logs
 from orchidlane.wire import WireError
 
-from . import listeners, upgrade
+from . import allocator, listeners, upgrade
 from .clients import Clients
 from .config import Config
 from .control import Control
@@ -24,9 +24,11 @@
 from .handover_channel import handover_socket_path
 from .handover_server import HandoverServer
 from .hosts import Hosts
+from .memory import MemoryBudget, MemoryMonitor
 from .peers import Peers
 from .request_log import LEVEL as REQUEST_LOG_LEVEL
 from .request_log import RequestLog
+from .stats import resident_bytes
 
 if TYPE_CHECKING:
     from .members import Members
@@ -68,6 +70,8 @@
         self.max_host_connections = max(
             1, config.sockets - RESERVED_DESCRIPTORS - self.max_client_connections
         )
+        self.budget = MemoryBudget(config.memory)
+        self.memory_monitor = MemoryMonitor(self.budget, resident_bytes, allocator.find_trim())
         self.driver = Driver(config.settings, config.seed, self.loop)
         self.driver.hosts = Hosts(
             self.driver,
@@ -75,9 +79,11 @@
             self.max_host_connections,
             config.idle_close,
             config.connect_timeout,
-            config.memory,
+            self.budget,
+        )
+        self.clients = Clients(
+            self.driver, config, self.max_client_connections, self.budget, self.memory_monitor
         )
-        self.clients = Clients(self.driver, config, self.max_client_connections)
         self.control = Control(self.driver, self.clients)
         self.peers: Peers | None = None
         self.metrics: Metrics | None = None
@@ -184,11 +190,12 @@
         driver.stats.start(self.loop, self._gauges)
         if not taken_over:
             await self._wait_for_host_list()
+        self.memory_monitor.calibrate()
         listen = functools.partial(self.clients.listen, predecessor and predecessor.listener)
         await listeners.listen_now("clients", config.listen, listen)
         log.info("serving", address=config.listen, list_version=driver.list_version)
         if taken_over:
-            predecessor.on_connection_counts = functools.partial(self._update_descriptor_limits, predecessor)
+            predecessor.on_usage = functools.partial(self._update_limits, predecessor)
             predecessor.start_receiving(self.control.execute_locally)
         self.control.predecessor = predecessor
         self.control.handover_server = HandoverServer(
@@ -215,10 +222,15 @@
         gauges = self.clients.gauges() | {"calls": len(self.driver.calls)} | self.driver.hosts.gauges()
         return gauges | (self.members.gauges() if self.members else {})
 
-    def _update_descriptor_limits(
-        self, predecessor: upgrade.Predecessor, predecessor_clients: int, predecessor_hosts: int
+    def _update_limits(
+        self,
+        predecessor: upgrade.Predecessor,
+        predecessor_clients: int,
+        predecessor_hosts: int,
+        predecessor_memory: int,
     ) -> None:
-        """Subtract the descriptors that the predecessor still uses, as both processes share one limit."""
+        """Subtract descriptors and memory that the predecessor uses, as both processes share the limits."""
+        self.budget.set_other_process(predecessor_memory)
         self.clients.max_connections = max(1, self.max_client_connections - predecessor_clients)
         reserved = UPGRADE_DESCRIPTORS if predecessor.channel else 0
         self.driver.hosts.max_connections = max(1, self.max_host_connections - predecessor_hosts - reserved)
--- a/saffrongw/response_slots.py
+++ b/saffrongw/response_slots.py
@@ -97,7 +97,12 @@
 
     def begin(self, length: int, source: Source) -> StreamedReply | None:
         """Start a streamed response; return what takes its chunks, or None if there is no room for it."""
-        self.stream = StreamedReply(self, length, source)
+        stream = StreamedReply(self, length, source)
+        if not stream.acquire_memory():
+            self.client.clients.driver.stats["failed_no_room"] += 1
+            self.answer(FAILED_REPLY)
+            return None
+        self.stream = stream
         self.answer(b"$%d\r\n" % length)
         return self.stream
 
@@ -108,6 +113,10 @@
         self._count(size)
         return True
 
+    def reserved_unused_bytes(self) -> int:
+        """Return how many bytes are counted and not held yet."""
+        return max(0, self.held_bytes - self._ready_bytes())
+
     def add(self, data: bytes) -> None:
         """Keep a chunk of a streamed response that may not be written yet."""
         self.pieces.append(data)
--- a/saffrongw/stats.py
+++ b/saffrongw/stats.py
@@ -6,17 +6,19 @@
 from __future__ import annotations
 
 import asyncio
+import functools
+import os
 import resource
 import time
 from collections import Counter
 from collections.abc import Callable
-from pathlib import Path
 
 from ops import logs
 
 log = logs.get_logger(__name__)
 
 REPORT_INTERVAL = 5.0  # seconds between two events
+MEMORY_FILE_BYTES = 128  # at most, of the kernel's figures on this process's memory
 
 
 class Stats(Counter[str]):
@@ -40,7 +42,7 @@
     def _write_event(self, loop: asyncio.AbstractEventLoop, previous_cpu_seconds: float) -> None:
         cpu_seconds = time.process_time()
         fields = self.gauges() | {
-            "rss_kb": rss_kb(),
+            "rss_kb": resident_bytes() // 1024,
             "cpu_ms": int(1000 * (cpu_seconds - previous_cpu_seconds)),
             "loop_lag_ms": int(1000 * self.loop_lag),
         }
@@ -51,7 +53,12 @@
         loop.call_later(REPORT_INTERVAL, self._write_event, loop, cpu_seconds)
 
 
-def rss_kb() -> int:
-    """Return the resident memory of this process in KiB."""
-    resident_pages = int(Path("/proc/self/statm").read_text().split()[1])
-    return resident_pages * resource.getpagesize() // 1024
+def resident_bytes() -> int:
+    """Return the resident memory of this process."""
+    return int(os.pread(_memory_file(), MEMORY_FILE_BYTES, 0).split()[1]) * resource.getpagesize()
+
+
+@functools.cache
+def _memory_file() -> int:
+    """Return a descriptor of the kernel's figures, kept open as they are read several times a second."""
+    return os.open("/proc/self/statm", os.O_RDONLY | os.O_CLOEXEC)
--- a/saffrongw/streamed_reply.py
+++ b/saffrongw/streamed_reply.py
@@ -20,6 +20,7 @@
 
 # Seconds after the request's time until which a value is held back: half a second late is too late.
 HOLD_GRACE = 0.3
+STREAM_BYTES = 48 * 1024  # of the write buffer, one read of the host's socket and the objects of a stream
 
 
 class Stage(Enum):
@@ -39,6 +40,34 @@
         self.stage = Stage.WAITING
         self.seconds_left = max(0, slot.call.deadline - self.driver.clock()) / 1e6
         self.hold_timer: asyncio.TimerHandle | None = None
+        self.counted_bytes = 0  # of the memory for streams
+        self.unsent_bytes = 0  # in the client's write buffer, while it does not read
+        self.recent_bytes = 0  # written since the write buffer was last empty
+
+    def acquire_memory(self) -> bool:
+        """Count what a stream needs; return False if there is no room for one more."""
+        if self.client.clients.stream_memory.lacks(STREAM_BYTES):
+            return False
+        self._count(STREAM_BYTES)
+        return True
+
+    def _count(self, size: int) -> None:
+        counted_before, self.counted_bytes = self.counted_bytes, size
+        self.client.clients.stream_memory.change(counted_before, size)
+
+    def count_unsent(self, unsent_bytes: int) -> None:
+        """Count what the client leaves unread, beyond what is counted for each stream.
+
+        A chunk of which a part has been sent is held as a whole.
+        """
+        self.unsent_bytes = self.recent_bytes if unsent_bytes else 0
+        self._count(max(STREAM_BYTES, self.unsent_bytes))
+
+    @property
+    def reserved_unused_bytes(self) -> int:
+        """Bytes that are counted for this stream and not held."""
+        unused = max(0, self.counted_bytes - self.unsent_bytes)
+        return unused + self.slot.reserved_unused_bytes()
 
     def may_begin(self) -> bool:
         """Return whether its bytes may be written now that all answers before it have been written.
@@ -53,14 +82,17 @@
         return self.stage is Stage.PASSED_ON
 
     def _hold(self) -> None:
-        self.stage = Stage.HELD
-        self.driver.stats["stream_held"] += 1
-        if not self.slot.reserve(self.length):
-            self._give_up("failed_no_room")
-            return
-        delay = self.seconds_left + HOLD_GRACE
-        self.hold_timer = self.driver.loop.call_later(delay, self._give_up, "stream_held_too_long")
-        self.source.resume()
+        """Hold the value back from now on, or once there is room for all of it."""
+        if self.hold_timer is None:
+            delay = self.seconds_left + HOLD_GRACE
+            self.hold_timer = self.driver.loop.call_later(delay, self._hold_timed_out)
+        if self.slot.reserve(self.length):
+            self.stage = Stage.HELD
+            self.driver.stats["stream_held"] += 1
+            self.source.resume()
+
+    def _hold_timed_out(self) -> None:
+        self._give_up("stream_held_too_long" if self.stage is Stage.HELD else "failed_no_room")
 
     def _give_up(self, counter: str) -> None:
         """Answer the request as failed, and let go of the source; nothing of the value has been written."""
@@ -76,6 +108,7 @@
     def write(self, data: bytes) -> None:
         """Take the next chunk."""
         if self.stage is Stage.PASSED_ON:
+            self.recent_bytes = len(data) + (self.recent_bytes if self.client.stalled_since else 0)
             self.client.write(data)
             return
         self.slot.add(data)
@@ -108,5 +141,6 @@
 
     def _detach(self) -> None:
         self.slot.stream = None
+        self._count(0)
         if self.hold_timer:
             self.hold_timer.cancel()
--- a/saffrongw/upgrade.py
+++ b/saffrongw/upgrade.py
@@ -37,6 +37,7 @@
     forward_command,
     short_path,
 )
+from .stats import resident_bytes
 
 log = logs.get_logger(__name__)
 
@@ -102,8 +103,8 @@
         self.relayed: dict[int, Call] = {}  # by the predecessor's request number
         self.pending_commands: dict[int, asyncio.Future[str]] = {}
         self.tasks: list[asyncio.Task] = []
-        # Called with the numbers of client and host connections that the predecessor still has.
-        self.on_connection_counts: Callable[[int, int], None] = lambda clients, hosts: None
+        # Called with the client and host connections that the predecessor still has, and its resident bytes.
+        self.on_usage: Callable[[int, int, int], None] = lambda clients, hosts, memory: None
         self.execute_command: ExecuteCommand | None = None  # for commands that the predecessor forwards
 
     async def take_over(self, driver: Driver, host_list_synchronized: asyncio.Event) -> bool:
@@ -153,7 +154,7 @@
         """Handle the predecessor's messages from now on, until it ends."""
         self.execute_command = execute_command
         # Assumed until its first message with the actual numbers.
-        self.on_connection_counts(self.config.sockets // 6, self.config.sockets // 3)
+        self.on_usage(self.config.sockets // 6, self.config.sockets // 3, resident_bytes())
         self.tasks.append(self.driver.loop.create_task(self._receive_messages()))
 
     async def _receive_messages(self) -> None:
@@ -165,14 +166,15 @@
         self.channel.writer.close()
         self.channel = None
         self._predecessor_lost()
-        self.on_connection_counts(0, 0)
+        self.on_usage(0, 0, 0)
 
     def _handle_message(self, message: dict[str, Any]) -> None:
         """Handle a message of the predecessor.
 
         ``arrived``: it relays a request; ``gone``: the client of one has gone; ``began`` and ``ended``: its
         own attempts; ``peer``: a datagram from another gateway; ``sockets``: its numbers of client and
-        host connections; ``call``: a command from an operator; ``said``: the answer to one that we forwarded.
+        host connections, and its memory; ``call``: a command from an operator; ``said``: the answer to one
+        that we forwarded.
         """
         match message:
             case {"arrived": int(number), "terms": terms, "parts": parts}:
@@ -200,7 +202,8 @@
             case {"peer": int(rank), "body": str(body)}:
                 self.driver.peer_message_received(rank, body.encode("latin-1"))
             case {"sockets": [int(clients), int(hosts)]}:
-                self.on_connection_counts(clients, hosts)
+                memory = message.get("memory")  # absent in messages of earlier versions
+                self.on_usage(clients, hosts, memory if isinstance(memory, int) else resident_bytes())
             case {"call": int(number), "line": str(line)}:
                 self.tasks.append(self.driver.loop.create_task(self._execute_and_answer(number, line)))
             case {"said": int(number), "text": str(text)} if number in self.pending_commands:
--- a/saffrongw/uploads.py
+++ b/saffrongw/uploads.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import Enum, auto
 from typing import TYPE_CHECKING
 
 from .calls import Terms
-from .resp import LARGE_VALUE_BYTES_MAX, LargeValue
+from .memory import HEADROOM_SHARE, UPLOAD_SHARE, MemoryAccount, MemoryBudget
+from .resp import LargeValue
 
 if TYPE_CHECKING:
     from .client import Client
 
-UPLOAD_MEMORY_SHARE = 1 / 5  # share of the memory limit for all buffered bodies
 UPLOAD_RATE_MIN = 16 * 1024  # bytes a second, after the command timeout
 UPLOAD_MEMORY_TIMEOUT = 1.6  # seconds to wait for memory: a client must get an answer or a close within 3 s
 UPLOAD_RESUME_TIMEOUT = 0.6  # seconds for the next chunk once memory is granted: the client has it ready
@@ -22,7 +23,7 @@
 
 @dataclass(slots=True)
 class Upload:
-    """A command whose large body is still being received; without terms it is malformed and discarded."""
+    """A command whose large body is still being received; without terms it is discarded."""
 
     large: LargeValue
     began: float  # loop time of its first bytes or, if it had to wait for memory, of the grant
@@ -31,6 +32,15 @@
     chunks: list[bytes] = field(default_factory=list)
     has_memory: bool = True
 
+    def discard(self) -> None:
+        """Drop the command, which has been answered: its body is read and not kept."""
+        self.terms, self.parts = None, ()
+
+    @property
+    def bytes_reserved(self) -> int:
+        """Memory that is granted for the body and not used yet."""
+        return self.large.bytes_left if self.terms and self.has_memory else 0
+
     def add(self, chunk: bytes) -> None:
         """Keep a chunk; a malformed command's is dropped."""
         if not self.terms:
@@ -50,24 +60,54 @@
         return self.large.length - self.large.bytes_left < UPLOAD_RATE_MIN * (cutoff - self.began)
 
 
-class UploadMemory:
+class Grant(Enum):
+    """Answer to a request for memory."""
+
+    GRANTED = auto()
+    LATER = auto()  # the client is called back once there is room
+    NEVER = auto()  # it is more than all bodies together may hold
+
+
+class UploadMemory(MemoryAccount):
     """Memory for the large bodies of all clients; clients without a grant are not read from."""
 
-    def __init__(self, limit: int) -> None:
-        self.free = max(limit, LARGE_VALUE_BYTES_MAX)
+    def __init__(self, budget: MemoryBudget) -> None:
+        self.free = 0  # of this account's share
         self.waiting: dict[Client, int] = {}  # first come, first served
+        super().__init__(budget, UPLOAD_SHARE, HEADROOM_SHARE)
 
-    def acquire(self, client: Client, size: int) -> bool:
+    def resize(self) -> None:
+        """Set the limit, as the budget has changed."""
+        limit_before = self.limit
+        super().resize()
+        self.free += self.limit - limit_before
+
+    def change(self, before: int, after: int) -> None:
+        """Record that a holder has changed from ``before`` to ``after`` bytes."""
+        super().change(before, after)
+        self.free -= after - before
+
+    def lacks(self, size: int) -> bool:
+        """Return whether there is no room for so many bytes more."""
+        return size > self.free or super().lacks(size)
+
+    def acquire(self, client: Client, size: int) -> Grant:
         """Reserve memory; if there is none now, the client is called back once there is."""
-        if self.waiting or self.free < size:
+        if size > self.limit:
+            return Grant.NEVER
+        if self.waiting or self.lacks(size):
             self.waiting[client] = size
-            return False
-        self.free -= size
-        return True
+            return Grant.LATER
+        self.change(0, size)
+        return Grant.GRANTED
 
     def release(self, size: int) -> None:
         """Return memory and grant it to the clients that have waited longest."""
-        self.free += size
-        while self.waiting and (client := next(iter(self.waiting))) and self.waiting[client] <= self.free:
-            self.free -= self.waiting.pop(client)
+        self.change(size, 0)
+        self.grant_waiting()
+
+    def grant_waiting(self) -> None:
+        """Grant memory to the clients that have waited longest, as far as there is room."""
+        while self.waiting and (client := next(iter(self.waiting))) and not self.lacks(self.waiting[client]):
+            self.change(0, self.waiting.pop(client))
             client.upload_memory_granted()
