Answer what waits behind hanging requests before SIGKILL may come or a drain ends

Cause: they were refused at once, but refusals are written in their connection's order, and the order before them was waited for up to its own deadline. Nothing in the code knew when SIGKILL may come.

Change: 0.4 s before that (the longest deadline, 3 s at most, plus 0.7 s) requests that keep others waiting are answered as failed, or as refused where no host can have run them, and given up; what comes later is answered at once. The same at the last step of a drain by LEAVE. A request with nothing behind it is still waited for. A drain's steps outlive a handover and a SIGTERM, which undid them, and its last step reads what the socket holds before it closes.

--- a/saffrongw/calls.py
+++ b/saffrongw/calls.py
@@ -64,6 +64,7 @@
         """Abort the response, as the rest of it will not come."""
 
 
+NEVER_RAN = (api.Outcome.FULL, api.Outcome.NOT_CONNECTED, api.Outcome.NEVER_SENT)
 Body = tuple[bytes, ...]  # a large body, in the chunks in which it was received
 
 
@@ -129,6 +130,11 @@
         """Whether its outcome is known."""
         return self.outcome is not None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the host may have executed it, or may yet."""
+        return self.fully_sent and self.outcome not in NEVER_RAN
+
     def end(self, outcome: api.Outcome) -> None:
         """Record the outcome, and stop the timers."""
         self.outcome = outcome
--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -359,12 +359,17 @@
     def end_unfinished_command(self) -> None:
         """Close a connection without requests in flight, even within a command, which then does not run.
 
-        Complete commands that wait for their turn, or for their client to read, are executed before.
+        Complete commands that wait for their turn, or for their client to read, are executed before, and so
+        is what the socket holds now.
         """
         if self.has_unprocessed_input() and not self._lacks_memory():
             self.ends_after_input = True
             self.clients.scheduler.submit(self)
             return
+        if self._has_unread_bytes() and not self._lacks_memory() and not self.ends_after_input:
+            self.ends_after_input = True
+            self._continue()
+            return
         self.ends_after_input = False
         if self.stage is Stage.OPEN and not self.slots:
             self._note_close(CloseReason.DRAIN)
@@ -373,6 +378,17 @@
             else:
                 self._end_with_reply(b"-BUSY\r\n")
 
+    def end_blockers(self) -> None:
+        """Answer the requests in flight that keep other answers, or unread commands, waiting behind them."""
+        if self.is_write_closed():
+            return
+        slots = list(self.slots)
+        last = max((index for index, slot in enumerate(slots) if slot.is_complete), default=0)
+        if len(slots) >= PIPELINE_MAX and (self.has_unprocessed_input() or self._has_unread_bytes()):
+            last = len(slots)
+        for slot in slots[:last]:
+            slot.give_up()
+
     def half_close(self) -> None:
         """Send FIN and discard input until the client closes as well (lingering close).
 
--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -87,6 +87,8 @@
         for client in self.connections():
             client.check_timeouts(cutoff)
             client.close_if_idle()
+            if self.drain.ending_blockers:
+                client.end_blockers()
         self._check_memory()
         self.upload_memory.grant_waiting()
         self.driver.loop.call_later(SWEEP_INTERVAL, self._sweep)
--- a/saffrongw/commands.py
+++ b/saffrongw/commands.py
@@ -97,7 +97,10 @@
             return client.reply(b"-BUSY 1000\r\n", body_bytes)
         if self.clients.drain.refusing_requests:
             self.clients.driver.stats["refused_leaving"] += 1
-            return client.reply(b"-BUSY\r\n", body_bytes)
+            client.reply(b"-BUSY\r\n", body_bytes)
+            if self.clients.drain.ending_blockers:
+                client.end_blockers()
+            return None
         request_bytes = REQUEST_OVERHEAD_BYTES + sum(len(part) for part in parts if isinstance(part, bytes))
         if self.clients.request_memory.lacks(request_bytes):
             self.clients.driver.stats["refused_no_room"] += 1
--- a/saffrongw/drain.py
+++ b/saffrongw/drain.py
@@ -17,15 +17,22 @@
 
 log = logs.get_logger(__name__)
 
+MICROSECONDS = 1_000_000  # in a second
+
 # Drain, in seconds after it begins.
 DRAIN_NOTICE_DELAY = 0.6  # idle connections are closed: the load balancer in front has seen the drain by now
 DRAIN_REFUSE_DELAY = 1.8  # requests are refused from here on
-DRAIN_CLOSE_DELAY = 3.3  # connections without a request in flight are closed
+DRAIN_CLOSE_DELAY = 3.3  # connections are closed, unless the oldest request in flight is all that they have
 
 # Shutdown, in seconds after SIGTERM.
 # Requests are refused from here on: any that arrives 0.7 s or later after SIGTERM must be answered before
 # SIGKILL.
 SHUTDOWN_REFUSE_DELAY = 0.65
+# SIGKILL comes no sooner than this after the longest deadline, which counts as KILL_DEADLINE_MAX at most.
+KILL_DELAY = 0.7
+KILL_DEADLINE_MAX = 3.0
+# Before SIGKILL may come: from here on no request is waited for that keeps other answers from being written.
+ANSWER_MARGIN = 0.4
 # After the listener is closed, incomplete commands delay the exit by at most this.
 SHUTDOWN_COMMAND_TIMEOUT = 1.0
 # Bytes a second at which a client has to receive its responses to be waited for beyond WRITE_STALL_TIMEOUT.
@@ -42,6 +49,7 @@
         self.clients = clients
         self.closing_idle = False  # connections are closed as soon as they have no request in flight
         self.refusing_requests = False
+        self.ending_blockers = False  # requests are answered at once that keep answers from being written
         self.timers: list[asyncio.TimerHandle] = []  # of the later steps of a drain
 
     def begin(self) -> None:
@@ -65,13 +73,17 @@
         self.clients.driver.readiness.draining = False
         self.closing_idle = False
         self.refusing_requests = False
+        self.ending_blockers = False
         for client in self.clients.open:
             client.ends_after_input = False
         return "done joined"
 
     def hand_over(self) -> None:
-        """Stop listening and close idle connections, as the successor accepts the new ones."""
-        self.cancel()
+        """Stop listening and close idle connections, as the successor accepts the new ones.
+
+        The steps of a drain that has begun are still taken: its connections are to be closed in time.
+        """
+        self.clients.driver.readiness.draining = False  # the successor serves the address
         self.clients.server.close()
         self._close_idle()
 
@@ -86,9 +98,16 @@
 
     def _close_without_request(self) -> None:
         """Close all connections without a request in flight, even within a command such as a large body."""
+        self._end_blockers()
         for client in list(self.clients.open):
             client.end_unfinished_command()
 
+    def _end_blockers(self) -> None:
+        """From now on wait for no request that keeps other answers on its connection from being written."""
+        self.ending_blockers = True
+        for client in list(self.clients.open):
+            client.end_blockers()
+
     def _is_awaiting_readers(self, seconds: float, received_before: dict[Client, int]) -> bool:
         """Return whether a client has kept reading fast enough for ``seconds`` beyond the usual end."""
         return any(
@@ -96,21 +115,27 @@
             for client in self.clients.connections()
         )
 
+    def _answer_delay(self) -> float:
+        """Return the seconds after SIGTERM by which all that clients are owed has to be written."""
+        longest = max(request_class.deadline for request_class in self.clients.config.settings.classes)
+        return min(KILL_DEADLINE_MAX, longest / MICROSECONDS) + KILL_DELAY - ANSWER_MARGIN
+
     async def shut_down(self, accept_time: float) -> None:
         """Close idle connections, accept new ones for ``accept_time`` seconds, then finish all requests.
 
-        Each wait is bounded: requests by their deadlines, commands by SHUTDOWN_COMMAND_TIMEOUT, and answers
-        that clients have to read by WRITE_STALL_TIMEOUT after the last deadline, with a second more for each
+        Each wait is bounded: requests by their deadlines, and by the time at which SIGKILL may come if other
+        answers wait for them, commands by SHUTDOWN_COMMAND_TIMEOUT, and answers that clients have to read
+        by WRITE_STALL_TIMEOUT after the last deadline, with a second more for each
         READ_RATE_MIN bytes that a client receives.
         """
         clients = self.clients
         driver = clients.driver
         loop = driver.loop
-        self.cancel()
         # After a handover the address stays ready, as the successor serves it.
         driver.readiness.shutting_down = not driver.readiness.handed_over
         self._close_idle()
         start = loop.time()
+        self.timers.append(loop.call_later(self._answer_delay(), self._end_blockers))
         await asyncio.sleep(accept_time)
         clients.stop_accepting()
         await asyncio.sleep(max(0.0, start + SHUTDOWN_REFUSE_DELAY - loop.time()))
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -183,13 +183,30 @@
                 self.stats["client_gone_sent_late"] += 1
             self._observe(call, "client_gone")
             self._mark_finished(call)
-            if call.is_relayed:
-                self.successor.client_gone(call)
-            else:
-                self.feed(api.ClientGone(call.event.request))
+            self._forget_elsewhere(call)
             for attempt in list(call.attempts):
                 self._withdraw_after_close(attempt)
 
+    def give_up(self, call: Call) -> None:
+        """Answer a request before its time: as refused if no host can have run it, else as failed."""
+        if call.finished:
+            return
+        may_have_run = call.is_relayed or any(attempt.may_have_run for attempt in call.attempts)
+        unsent = [attempt for attempt in call.attempts if not (attempt.ended or attempt.fully_sent)]
+        self.stats["failed_ending" if may_have_run else "refused_leaving"] += 1
+        self._observe(call, "failed" if may_have_run else "refused")
+        self._finish(call, FAILED_REPLY if may_have_run else b"-BUSY\r\n")
+        for attempt in unsent:
+            self._withdraw(attempt)
+        self._forget_elsewhere(call)
+
+    def _forget_elsewhere(self, call: Call) -> None:
+        """Have whoever decides on a finished request cancel its attempts and forget it."""
+        if call.is_relayed:
+            self.successor.client_gone(call)
+        else:
+            self.feed(api.ClientGone(call.event.request))
+
     def is_wanted(self, attempt: Attempt) -> bool:
         """Return whether an attempt may still be sent, and end it if not; called right before it is written.
 
--- a/saffrongw/response_slots.py
+++ b/saffrongw/response_slots.py
@@ -39,6 +39,18 @@
             self._count_held_bytes()
             self._drop_reply_without_memory()
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole response is ready."""
+        return bool(self.pieces) and self.stream is None
+
+    def give_up(self) -> None:
+        """Answer the request now if it has no whole answer, as others behind it have to be answered."""
+        if self.stream:
+            self.stream.give_up()
+        elif self.call and not self.is_complete:
+            self.client.clients.driver.give_up(self.call)
+
     def may_begin(self) -> bool:
         """Return whether the response may be written, once it is the first one of its connection."""
         return bool(self.pieces) and (self.stream is None or self.stream.may_begin())
--- a/saffrongw/streamed_reply.py
+++ b/saffrongw/streamed_reply.py
@@ -94,6 +94,11 @@
     def _hold_timed_out(self) -> None:
         self._give_up("stream_held_too_long" if self.stage is Stage.HELD else "failed_no_room")
 
+    def give_up(self) -> None:
+        """Answer the request as failed, unless a part of the value has been written."""
+        if self.stage is not Stage.PASSED_ON:
+            self._give_up("failed_ending")
+
     def _give_up(self, counter: str) -> None:
         """Answer the request as failed, and let go of the source; nothing of the value has been written."""
         self.driver.stats[counter] += 1
