Bound the table of customers by the memory, whatever their plan

Cause: an account went once its quota was full again, so the table was bounded by time and not by size. At gateways other than the owner one under a ceiling was never full, as their part of the ceiling is a half of what counted as full.

Change: the caller sets how many accounts there may be, a quarter of the memory budget and at least 1,000. Beyond it the account that lacks least of its quota goes, of eight idle ones examined in turn. What counts as full is the gateway's own part of the ceiling.

--- a/orchidlane/rules.py
+++ b/orchidlane/rules.py
@@ -32,6 +32,9 @@
 # Customers examined per message and per eviction pass, to bound the work of one event.
 GOSSIP_SCAN_MAX = 32
 IDLE_SCAN_MAX = 3
+EVICTION_SCAN_MAX = 8  # when the table of accounts is full
+
+ACCOUNTS_MAX = 100_000  # in the table, unless the caller sets another number
 
 MESSAGE_AGE_MAX = 5 * SECOND  # messages older than this, or dated this far ahead, are dropped
 
@@ -119,6 +122,8 @@
         self.next_trial_at = 0.0  # earliest time of the next trial request in an overload
         self.typical_concurrency = CONCURRENCY_SMOOTHING
 
+        self.accounts_max = ACCOUNTS_MAX
+
         self.membership: api.MembersChanged | None = None  # None: not used, peers are judged by silence
         self.unavailable: frozenset[int] = frozenset()
         self.send_rate = INTAKE_SHARE * settings.peer_intake
@@ -575,6 +580,8 @@
         placement = plan, first, max(1, min(size, self.settings.gateways))
         account = self.accounts.get(customer)
         if account is None:
+            if len(self.accounts) >= self.accounts_max:
+                self._evict_fullest()
             account = Account(customer, placement, self.settings.plans[plan].burst, self.now)
             self.accounts[customer] = account
             self.idle_queue.append(customer)
@@ -1000,11 +1007,40 @@
             customer = self.idle_queue.popleft()
             account = self.accounts[customer]
             self._refill(account)
-            plan = self.settings.plans[account.plan]
-            has_full_ceiling = account.ceiling_tokens >= plan.ceiling_burst / account.set_size
-            is_full = has_full_ceiling and account.remaining >= plan.burst
-            if account.open_attempts or account.waiting_units or not is_full:
+            if self._is_in_use(account) or not self._is_full(account):
                 self.idle_queue.append(customer)
-                continue
-            del self.accounts[customer]
-            self.pending_gossip.pop(customer, None)
+            else:
+                self._forget_account(customer)
+
+    def _evict_fullest(self) -> None:
+        """Evict the idle account that lacks least of its quota, of a few examined in turn.
+
+        Ever new customers would otherwise fill the memory. Evicting an account gives its customer a full
+        quota again; it never lets one pass a ceiling, as an account begins with no ceiling tokens.
+        """
+        examined = [self.idle_queue.popleft() for _ in range(min(EVICTION_SCAN_MAX, len(self.idle_queue)))]
+        idle = [customer for customer in examined if not self._is_in_use(self.accounts[customer])]
+        fullest = min(idle, key=self._missing_units, default=None)
+        self.idle_queue.extend(customer for customer in examined if customer != fullest)
+        if fullest is not None:
+            self._forget_account(fullest)
+
+    def _missing_units(self, customer: int) -> float:
+        """Return the units that a customer's quota lacks."""
+        account = self.accounts[customer]
+        self._refill(account)
+        return self.settings.plans[account.plan].burst - account.remaining
+
+    def _is_in_use(self, account: Account) -> bool:
+        return bool(account.open_attempts or account.waiting_units)
+
+    def _is_full(self, account: Account) -> bool:
+        """Return whether the account holds no information: all that it may hold has been refilled."""
+        plan = self.settings.plans[account.plan]
+        has_full_ceiling = account.ceiling_tokens >= plan.ceiling_burst * self._ceiling_share(account)
+        return has_full_ceiling and (not plan.rate or account.remaining >= plan.burst)
+
+    def _forget_account(self, customer: int) -> None:
+        """Remove an account that has been taken from the queue of idle ones."""
+        del self.accounts[customer]
+        self.pending_gossip.pop(customer, None)
--- a/saffrongw/memory.py
+++ b/saffrongw/memory.py
@@ -29,6 +29,9 @@
 STREAM_SHARE = 3 / 4
 PARTIAL_REPLY_SHARE = 1 / 4
 
+ACCOUNT_SHARE = 1 / 4  # of the budget, for the accounts of customers
+ACCOUNT_BYTES = 1024
+ACCOUNTS_MIN = 1_000
 REQUEST_OVERHEAD_BYTES = 2048  # of the objects that are kept for a request, besides its command
 
 
@@ -87,6 +90,11 @@
         return self.free > ROOMY_SHARE * self.capacity
 
 
+def accounts_max(budget: MemoryBudget) -> int:
+    """Return how many customers' accounts may be kept; they are not counted, but measured."""
+    return max(ACCOUNTS_MIN, int(ACCOUNT_SHARE * budget.capacity / ACCOUNT_BYTES))
+
+
 class MemoryAccount:
     """The bytes of one kind that all connections hold together."""
 
--- a/saffrongw/process.py
+++ b/saffrongw/process.py
@@ -24,7 +24,7 @@
 from .handover_channel import handover_socket_path
 from .handover_server import HandoverServer
 from .hosts import Hosts
-from .memory import MemoryBudget, MemoryMonitor
+from .memory import MemoryBudget, MemoryMonitor, accounts_max
 from .peers import Peers
 from .request_log import LEVEL as REQUEST_LOG_LEVEL
 from .request_log import RequestLog
@@ -191,6 +191,7 @@
         if not taken_over:
             await self._wait_for_host_list()
         self.memory_monitor.calibrate()
+        driver.gateway.accounts_max = accounts_max(self.budget)
         listen = functools.partial(self.clients.listen, predecessor and predecessor.listener)
         await listeners.listen_now("clients", config.listen, listen)
         log.info("serving", address=config.listen, list_version=driver.list_version)
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -8,7 +8,18 @@
 import sys
 
 import pytest
-from conftest import PLAIN, SECOND, T0, Fleet, GatewayHarness, entry, listed, of_type
+from conftest import (
+    CEILING_LIMITED,
+    PLAIN,
+    SECOND,
+    SETTINGS,
+    T0,
+    Fleet,
+    GatewayHarness,
+    entry,
+    listed,
+    of_type,
+)
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -293,6 +304,49 @@
     assert len(harness.gateway.accounts) < 60
 
 
+@pytest.mark.parametrize("plan", range(len(SETTINGS.plans)))
+def test_table_of_accounts_is_bounded_whatever_the_plan(plan):
+    """Ever new customers of a plan with a ceiling took 14 MB in 75 s: bounded by time, and not by size."""
+    harness = GatewayHarness(gateways=1)
+    harness.gateway.accounts_max = 50
+    for i in range(1, 1_001):
+        count_admitted(harness, 1, start=i, customer=i, plan=plan, set_size=1)
+        assert len(harness.gateway.accounts) <= 50 == harness.gateway.accounts_max
+    assert len(harness.gateway.idle_queue) == len(harness.gateway.accounts)
+    assert set(harness.gateway.pending_gossip) <= set(harness.gateway.accounts)
+
+
+def test_an_account_that_has_spent_much_outlives_ever_new_customers():
+    harness = GatewayHarness(gateways=1)
+    harness.gateway.accounts_max = 50
+    assert count_admitted(harness, 20, customer=7, set_size=1) < 20  # its quota is spent
+    for i in range(1_000, 3_000):
+        count_admitted(harness, 1, start=i, customer=i, set_size=1)
+    assert count_admitted(harness, 5, start=5_000, customer=7, set_size=1) == 0
+
+
+def test_evicting_accounts_never_lets_a_customer_pass_its_ceiling():
+    harness, seconds = GatewayHarness(gateways=1), 10
+    harness.gateway.accounts_max = 1
+    admitted = 0
+    for i in range(100 * seconds):
+        admitted += count_admitted(harness, 1, start=2 * i + 1, customer=7, plan=2, set_size=1)
+        count_admitted(harness, 1, start=2 * i + 2, customer=8, plan=2, set_size=1)
+        harness.run(SECOND // 100)
+    assert admitted <= CEILING_LIMITED.ceiling_rate * seconds + CEILING_LIMITED.ceiling_burst
+
+
+@pytest.mark.parametrize("rank", range(3))
+def test_idle_accounts_under_a_ceiling_are_evicted_at_each_gateway_of_the_set(rank):
+    """Gateways other than the owner never held the part of the ceiling that counted as full."""
+    harness = GatewayHarness(rank=rank)
+    count_admitted(harness, 1, customer=7, plan=2)
+    harness.run(20 * SECOND)
+    for i in range(50, 60):
+        harness.send_request(i, customer=1_000 + i, set_size=1)
+    assert 7 not in harness.gateway.accounts
+
+
 # Gateway sets of any size
 
 
