End the unfinished command that takes most room for longest, not the one that comes next

Cause: at the bound on the bytes of unfinished commands the connection whose bytes came next was ended, whoever held the room.

Change: Clients.make_input_room ends those that hold most for longest (bytes times seconds) until the others have room.

--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -31,6 +31,7 @@
 PIPELINE_MAX = 64  # commands in flight on one connection; reading pauses while there are so many
 COMMAND_VALUES_MAX = 64  # values of one command, of which a proper one has five at most
 COMMAND_UNITS = 32  # work of executing a command, in the units of the input scheduler
+UNFINISHED_ERROR = "too much is unfinished"
 SURPLUS_CONNECTIONS_MAX = 16  # connections beyond the limit that get an error response; more are reset
 RECEIVE_BUFFER_BYTES = 256 * 1024  # SO_RCVBUF of a client's socket
 WRITE_BUFFER_BYTES = 16 * 1024  # unsent in this process, from which on a client counts as not reading
@@ -277,14 +278,23 @@
         self._count_held_bytes()
         if self.held_bytes > COMMAND_BYTES_MAX:
             raise hiredis.ProtocolError("command too long")
-        input_bytes_max = min(COMMAND_BYTES_MAX_ALL, self.clients.input_memory.limit)
-        if self.reader.unparsed_bytes and self.clients.held_bytes > input_bytes_max:
-            raise hiredis.ProtocolError("too much is unfinished")
+        if self.reader.unparsed_bytes and not self.clients.make_input_room(self):
+            raise hiredis.ProtocolError(UNFINISHED_ERROR)
         if self.reader.at_boundary:
             self.waiting_since = 0.0
         elif has_advanced or self.upload or not self.waiting_since:
             self.waiting_since = self.clients.driver.loop.time()
 
+    def input_occupancy(self, now: float) -> float:
+        """Return how much room an unfinished command takes and for how long, in bytes times seconds."""
+        is_unfinished = self.stage is Stage.OPEN and self.reader.unparsed_bytes and self.waiting_since
+        return self.held_bytes * (now - self.waiting_since) if is_unfinished else 0.0
+
+    def give_up_input(self) -> None:
+        """End a connection whose unfinished command takes room that others need."""
+        self.clients.driver.stats["client_protocol_error"] += 1
+        self._end_with_error(UNFINISHED_ERROR)
+
     def check_timeouts(self, cutoff: float) -> None:
         """Close a connection that has exceeded a timeout; ``cutoff`` is now less COMMAND_TIMEOUT.
 
--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -8,7 +8,7 @@
 import os
 import socket
 
-from .client import COMMAND_TIMEOUT, SURPLUS_CONNECTIONS_MAX, Client
+from .client import COMMAND_BYTES_MAX_ALL, COMMAND_TIMEOUT, SURPLUS_CONNECTIONS_MAX, Client
 from .commands import CommandExecutor
 from .config import Config
 from .drain import Drain
@@ -143,6 +143,20 @@
         self.open.pop(client, None)
         self.open[client] = None
 
+    def make_input_room(self, client: Client) -> bool:
+        """End connections until the unfinished commands of all take no more room than they may.
+
+        Those that hold most for longest end first. Return False if ``client`` is one of them.
+        """
+        input_bytes_max = min(COMMAND_BYTES_MAX_ALL, self.input_memory.limit)
+        now = self.driver.loop.time()
+        while self.held_bytes > input_bytes_max:
+            largest = max(self.open, key=lambda other: other.input_occupancy(now), default=client)
+            if largest is client or not largest.input_occupancy(now):
+                return False
+            largest.give_up_input()
+        return True
+
     def receive_buffer(self) -> memoryview:
         """Return the buffer for one read; a part of it while clients hold much input together."""
         if self.held_bytes > HELD_BYTES_CROWDED:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -505,6 +505,29 @@
     assert gateway.driver.stats["client_unread"] == 1
 
 
+@asyncio_test
+async def test_order_is_accepted_while_others_leave_theirs_unfinished():
+    """Whoever sent the next bytes was ended, which was mostly a client that sent its whole command."""
+    gateway = LoopbackGateway(await FakeHost("a").listen(), sockets=256)
+    gateway.clients._sweep = lambda: None  # disables the command timeout
+    gateway.clients.input_memory.limit = 300_000
+    stalled = [await gateway.connect_client() for _ in range(30)]
+    for client in stalled:
+        client.transport.write(b"*5\r\n$65536\r\n" + b"x" * 9_900)
+    await until(lambda: gateway.clients.held_bytes > 290_000)
+    for client in gateway.clients.open:
+        client.waiting_since -= 1.0
+    sound = await gateway.connect_client()
+    terms = b"c=put,t=team,d=9000,units=1,spread=2,first=0,k=key7"
+    order = hiredis.pack_command((b"CALL.POST", b"0000000000000007", b"id1", terms, b"b" * 60_000))
+    for at in range(0, len(order), 10_000):
+        sound.transport.write(order[at : at + 10_000])
+        await asyncio.sleep(0.01)
+    assert await sound.wait_for_replies() == [b"ok"]
+    assert sum(client.closed for client in stalled) <= 8
+    assert gateway.clients.held_bytes <= gateway.clients.input_memory.limit
+
+
 @asyncio_test
 async def test_unfinished_commands_of_all_clients_are_bounded():
     gateway = LoopbackGateway(await FakeHost("a").listen(), sockets=256)
