Count the time that a request lies unread, and refuse in time what finds no memory

Cause: d was counted from when the process had read the last byte, and the wait for memory was 1.6 s whatever d was.

Change: while a client is not read from, each check notes whether its next command lies whole in the socket, with the time of the check before; that is taken off d, and what has no time left gets -BUSY. A body that finds no memory in its time is refused then. Bodies up to 256 KiB don't wait behind larger ones.

The wrapper in test_request_completion.py passes the new argument on; it checks what it did.

--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -6,6 +6,7 @@
 import fcntl
 import select
 import socket
+import sys
 import termios
 from collections import deque
 from enum import Enum, auto
@@ -17,7 +18,7 @@
 
 from .request_log import CloseReason
 from .requests import BODY_INDEX
-from .resp import VALUE_BYTES_MAX, Reader
+from .resp import CRLF, VALUE_BYTES_MAX, Reader
 from .response_slots import Slot
 from .streamed_reply import StreamedReply
 from .uploads import UPLOAD_RESUME_TIMEOUT, Upload
@@ -36,7 +37,8 @@
 RECEIVE_BUFFER_BYTES = 256 * 1024  # SO_RCVBUF of a client's socket
 WRITE_BUFFER_BYTES = 16 * 1024  # unsent in this process, from which on a client counts as not reading
 
-# Timeouts, in seconds.
+# Times, in seconds.
+SWEEP_INTERVAL = 0.2  # between two checks of all connections' timeouts
 COMMAND_TIMEOUT = 2.2  # for the first command, for the rest of one, or for more of a large body
 FIRST_COMMAND_GRACE = 0.3  # in which a new connection is not closed as idle during a drain
 WRITE_STALL_TIMEOUT = 10.0  # for which a client may leave its responses unread
@@ -76,6 +78,8 @@
         self.reading_paused = False
         self.paused_at = self.waiting_since  # when reading was paused the last time
         self.last_seen = self.waiting_since  # when the client was last known to be connected, while paused
+        # Loop time since when the input that is processed next may have been here; 0: it has just arrived.
+        self.backlog_since = 0.0
         self.transport: asyncio.Transport | None = None
         self.close_reason: CloseReason | None = None  # the first one, once this side has begun to close
 
@@ -156,6 +160,8 @@
     def _pause_reading(self) -> None:
         if not self.reading_paused and self.stage is Stage.OPEN:
             self.paused_at = self.last_seen = self.clients.driver.loop.time()
+            if self.reader.is_behind and not self.upload:
+                self._note_backlog(self.paused_at)
             self.reading_paused = True
             self.transport.pause_reading()
 
@@ -166,10 +172,26 @@
 
     def _resume_reading(self) -> None:
         if self.reading_paused and not self.transport.is_closing():
+            self._look_for_backlog()
             self.reading_paused = False
             self._extend_timeouts(self.clients.driver.loop.time() - self.paused_at)
             self.transport.resume_reading()
 
+    def _note_backlog(self, since: float) -> None:
+        self.backlog_since = self.backlog_since or since
+
+    def _look_for_backlog(self) -> None:
+        """Note since when the next command may lie unread in the socket: its time runs from its last byte."""
+        missing = 1
+        if self.upload:
+            missing = self.upload.large.bytes_left + len(CRLF) - self.reader.held_bytes
+        if not self.backlog_since and self._unread_bytes() >= missing:
+            self._note_backlog(self.last_seen)
+
+    def seconds_waited(self) -> float:
+        """Return for how long the command that has been read now may have been here."""
+        return self.clients.driver.loop.time() - self.backlog_since if self.backlog_since else 0.0
+
     def _extend_timeouts(self, seconds: float) -> None:
         """Leave the time in which the client was not read from out of the times that it takes."""
         now = self.clients.driver.loop.time()
@@ -235,6 +257,8 @@
 
     def input_processed(self) -> None:
         """Read on, unless the connection is to end or the client has to wait for something."""
+        if self.backlog_since and not self.reader.is_behind and not self._has_unread_bytes():
+            self.backlog_since = 0.0
         if self.ends_after_input and not self.has_unprocessed_input():
             self.end_unfinished_command()
         if self._must_pause_reading():
@@ -325,10 +349,14 @@
             self.clients.driver.stats["client_gone_unread"] += 1
             self.transport.abort()
         elif self.reading_paused:
+            self._look_for_backlog()
             self.last_seen = self.clients.driver.loop.time()
 
     def _check_overdue(self, cutoff: float) -> None:
         """End a connection on which a command is late in two successive checks."""
+        if self._is_upload_too_late():
+            self._refuse_upload()
+            return
         is_late = 0 < self.waiting_since < cutoff
         is_late |= self.upload is not None and self.upload.is_late(cutoff, COMMAND_TIMEOUT)
         is_overdue = is_late and not self.slots and not self._is_left_unread()
@@ -340,11 +368,20 @@
         if self.reader.at_boundary:
             self.half_close()  # without an error line, which would pass for the reply to a request
         elif self._lacks_memory():
-            self.clients.driver.stats["refused_no_room"] += 1
-            self._end_with_reply(b"-BUSY\r\n")  # the request was not executed, so it may be retried
+            self._refuse_upload()
         else:
             self._end_with_error("no whole command in time")
 
+    def _is_upload_too_late(self) -> bool:
+        """Return whether the client's time is over soon, while the gateway lacks memory for its request."""
+        return self._lacks_memory() and self.upload.has_expired(self.seconds_waited() + 2 * SWEEP_INTERVAL)
+
+    def _refuse_upload(self) -> None:
+        """End a connection whose large body finds no memory; it was not executed, so it may be retried."""
+        self._note_close(CloseReason.OVERDUE)
+        self.clients.driver.stats["refused_no_room"] += 1
+        self._end_with_reply(b"-BUSY\r\n")
+
     def _is_left_unread(self) -> bool:
         """Return whether this process does not read from the client, other than for lack of memory."""
         return self.reading_paused and not self._lacks_memory()
@@ -478,12 +515,15 @@
         return not self.slots and not self.upload and is_parsed and not self._has_unread_bytes()
 
     def _has_unread_bytes(self) -> bool:
-        """Return whether the socket holds unread input."""
+        return self._unread_bytes() > 0
+
+    def _unread_bytes(self) -> int:
+        """Return how much unread input the socket holds."""
         try:
             descriptor = self.transport.get_extra_info("socket").fileno()
-            return any(fcntl.ioctl(descriptor, termios.FIONREAD, bytes(4)))
+            return int.from_bytes(fcntl.ioctl(descriptor, termios.FIONREAD, bytes(4)), sys.byteorder)
         except (OSError, ValueError):
-            return False  # FIONREAD is not supported, or the socket is closing
+            return 0  # FIONREAD is not supported, or the socket is closing
 
     def client_has_closed(self) -> bool:
         """Return whether the client has closed; its FIN may wait behind input while reading is paused."""
--- a/saffrongw/clients.py
+++ b/saffrongw/clients.py
@@ -8,7 +8,13 @@
 import os
 import socket
 
-from .client import COMMAND_BYTES_MAX_ALL, COMMAND_TIMEOUT, SURPLUS_CONNECTIONS_MAX, Client
+from .client import (
+    COMMAND_BYTES_MAX_ALL,
+    COMMAND_TIMEOUT,
+    SURPLUS_CONNECTIONS_MAX,
+    SWEEP_INTERVAL,
+    Client,
+)
 from .commands import CommandExecutor
 from .config import Config
 from .drain import Drain
@@ -29,7 +35,6 @@
 
 # Length of the accept queue. A client that overflows it may believe it is connected and wait for ever.
 LISTEN_BACKLOG = 1024
-SWEEP_INTERVAL = 0.2  # seconds between two checks of all connections' timeouts
 # Read from a client at once. A client that waits for its turn or for a response holds that much.
 RECEIVE_BYTES = 16 * 1024
 RECEIVE_BYTES_CROWDED = 1024  # while all clients together hold over HELD_BYTES_CROWDED
--- a/saffrongw/commands.py
+++ b/saffrongw/commands.py
@@ -10,7 +10,7 @@
 from .requests import MalformedRequest, parse
 from .resp import VALUE_BYTES_MAX, LargeValue
 from .response_slots import Slot
-from .uploads import Grant, Upload
+from .uploads import MICROSECONDS, Grant, Upload
 
 if TYPE_CHECKING:
     from .client import Client
@@ -105,9 +105,13 @@
         if self.clients.request_memory.lacks(request_bytes):
             self.clients.driver.stats["refused_no_room"] += 1
             return client.reply(b"-BUSY\r\n", body_bytes)
+        waited = int(client.seconds_waited() * MICROSECONDS)
+        if waited >= terms.timeout:
+            self.clients.driver.stats["refused_spent"] += 1
+            return client.reply(b"-BUSY\r\n", body_bytes)
         self.clients.mark_used(client)
         slot = Slot(client)
         slot.count_request(request_bytes, body_bytes)
         client.slots.append(slot)
-        slot.call = self.clients.driver.accept_request(terms, parts, slot.answer, slot)
+        slot.call = self.clients.driver.accept_request(terms, parts, slot.answer, slot, waited)
         return None
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -140,14 +140,16 @@
         parts: tuple[bytes | Body, ...],
         answer: Callable[[bytes], None],
         slot: ClientSlot | None = None,
+        waited: int = 0,
     ) -> Call:
         """Register a completely received request and have it decided on, here or by the successor.
 
-        It gets a number of our own: clients' ids are not passed to the decision module.
+        It gets a number of our own: clients' ids are not passed to the decision module. ``waited``: for how
+        many microseconds it may have lain in the socket before it was read.
         """
         self.last_request_number += 1
         self.stats["requests"] += 1
-        time_left = max(MS, terms.timeout - REPLY_MARGIN)
+        time_left = max(MS, terms.timeout - waited - REPLY_MARGIN)
         event = api.RequestArrived(
             self.last_request_number,
             terms.customer,
--- a/saffrongw/uploads.py
+++ b/saffrongw/uploads.py
@@ -16,8 +16,8 @@
 UPLOAD_RATE_MIN = 16 * 1024  # bytes a second, after the command timeout
 UPLOAD_MEMORY_TIMEOUT = 1.6  # seconds to wait for memory: a client must get an answer or a close within 3 s
 UPLOAD_RESUME_TIMEOUT = 0.6  # seconds for the next chunk once memory is granted: the client has it ready
-
-
+MICROSECONDS = 1_000_000  # in a second
+SMALL_BODY_BYTES = 256 * 1024  # a body up to this size does not wait behind larger ones
 JOINED_CHUNK_BYTES_MAX = 4096  # of small chunks kept as one: each costs some 50 bytes more than it holds
 
 
@@ -50,6 +50,10 @@
         else:
             self.chunks.append(chunk)
 
+    def has_expired(self, seconds: float) -> bool:
+        """Return whether the client waits for so many seconds at most, if the request is proper."""
+        return self.terms is not None and seconds >= self.terms.timeout / MICROSECONDS
+
     def is_late(self, cutoff: float, grace: float) -> bool:
         """Return whether it has waited too long for memory, or is slower than the minimum rate.
 
@@ -95,7 +99,7 @@
         """Reserve memory; if there is none now, the client is called back once there is."""
         if size > self.limit:
             return Grant.NEVER
-        if self.waiting or self.lacks(size):
+        if (self.waiting and size > SMALL_BODY_BYTES) or self.lacks(size):
             self.waiting[client] = size
             return Grant.LATER
         self.change(0, size)
--- a/tests/test_request_completion.py
+++ b/tests/test_request_completion.py
@@ -144,10 +144,10 @@
         self.behind = 0.0
         accept_request, client_gone = self.driver.accept_request, self.driver.client_gone
 
-        def record_accepted(terms, parts, answer, sink=None) -> Call:
+        def record_accepted(terms, parts, answer, slot=None, waited=0) -> Call:
             times: list[float] = []
             call = accept_request(
-                terms, parts, lambda reply: (times.append(self.loop.now), answer(reply)), sink
+                terms, parts, lambda reply: (times.append(self.loop.now), answer(reply)), slot, waited
             )
             self.answers[call] = times
             return call
