Let a shutdown wait for a host that still writes a large value, however slowly

Cause: the end of a shutdown asked how fast clients receive, also where a host was the slow one.

Change: it also waits while a host writes a value that its client reads; one that sends nothing for 10 s is let go, as before.

A host that trickles a byte each few seconds holds the process until SIGKILL.

--- a/saffrongw/drain.py
+++ b/saffrongw/drain.py
@@ -11,6 +11,7 @@
 from ops import logs
 
 from .client import WRITE_STALL_TIMEOUT, Client
+from .hosts import STREAM_IDLE_TIMEOUT
 
 if TYPE_CHECKING:
     from .clients import Clients
@@ -115,6 +116,12 @@
             for client in self.clients.connections()
         )
 
+    def _is_awaiting_hosts(self) -> bool:
+        """Return whether a host still writes a large value that its client reads."""
+        hosts = self.clients.driver.hosts
+        cutoff = self.clients.driver.loop.time() - STREAM_IDLE_TIMEOUT
+        return any(not stream.paused and stream.last_received_at > cutoff for stream in hosts.streams)
+
     def _answer_delay(self) -> float:
         """Return the seconds after SIGTERM by which all that clients are owed has to be written."""
         longest = max(request_class.deadline for request_class in self.clients.config.settings.classes)
@@ -126,7 +133,7 @@
         Each wait is bounded: requests by their deadlines, and by the time at which SIGKILL may come if other
         answers wait for them, commands by SHUTDOWN_COMMAND_TIMEOUT, and answers that clients have to read
         by WRITE_STALL_TIMEOUT after the last deadline, with a second more for each
-        READ_RATE_MIN bytes that a client receives.
+        READ_RATE_MIN bytes that a client receives, and for as long as a host writes a large value.
         """
         clients = self.clients
         driver = clients.driver
@@ -145,7 +152,9 @@
         cut_off_at = loop.time() + max(0.0, time_left / 1e6) + WRITE_STALL_TIMEOUT
         received_before = {client: client.received_bytes() for client in clients.connections()}
         while not clients.is_finished and (
-            loop.time() < cut_off_at or self._is_awaiting_readers(loop.time() - cut_off_at, received_before)
+            loop.time() < cut_off_at
+            or self._is_awaiting_readers(loop.time() - cut_off_at, received_before)
+            or self._is_awaiting_hosts()
         ):
             for client in list(clients.open):
                 client.close_if_idle()
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -13,6 +13,7 @@
 from conftest import FakeHost, LoopbackGateway, asyncio_test, until
 
 from saffrongw import client as client_module
+from saffrongw import drain as drain_module
 from saffrongw import hosts as hosts_module
 from saffrongw import uploads as uploads_module
 from saffrongw.memory import REQUEST_OVERHEAD_BYTES
@@ -371,6 +372,26 @@
     await ending
 
 
+@asyncio_test
+async def test_shutdown_waits_for_a_host_that_writes_slowly(monkeypatch):
+    """It cut the value off 10 s after the last deadline unless the client got 16 KiB a second."""
+    monkeypatch.setattr(drain_module, "WRITE_STALL_TIMEOUT", 0.1)
+    host = await FakeHost("a").listen()
+    host.script = lambda command: answer(BIG)[:100_000]
+    gateway = LoopbackGateway(host)
+    client = await gateway.connect_client()
+    client.send_request()
+    await until(lambda: gateway.hosts.streams)
+    ending = asyncio.create_task(gateway.clients.drain.shut_down(0.1))
+    for at in range(100_000, 100_040):
+        host.connections[0].transport.write(answer(BIG)[at : at + 1])
+        await asyncio.sleep(0.05)
+    assert not ending.done()
+    host.connections[0].transport.write(answer(BIG)[100_040:])
+    assert await client.wait_for_replies() == [BIG]
+    await ending
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_each_value_is_read_with_its_own_parts_whatever_came_before(seed):
     """A large value within an array became the next command's body, and each body that of the one after."""
