Answer all commands that have arrived on a surplus connection before it is ended

Cause: the first refusal stopped the execution of commands, and the rest of what had been read was dropped.

Change: such a connection ends at the next moment between two requests, when all that has arrived is answered.

--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -66,6 +66,7 @@
         self.held_bytes = 0  # received bytes that are held for unfinished or waiting commands
         self.input_queued = False  # the scheduler processes the input, now or in its turn
         self.ends_after_input = False  # it is closed once the received commands are executed
+        self.ends_when_idle = False  # it is closed at the next moment between two requests
         self.stage = Stage.OPEN
         self.is_surplus = False  # it was accepted beyond the connection limit
         # Loop time since when the first command or the rest of one is awaited; 0: none is.
@@ -291,7 +292,7 @@
             self.clients.driver.stats["client_protocol_error"] += 1
             self._end_with_error(" ".join(str(error).split()))
         self._count_held_bytes()
-        if self.clients.drain.closing_idle:
+        if self.clients.drain.closing_idle or self.ends_when_idle:
             self.close_if_idle()
         return self.reader.headers_checked - headers_before + COMMAND_UNITS * executed
 
@@ -398,9 +399,9 @@
         self._discard_input()
         self.reply(reply)
 
-    def end_after_replies(self, reason: CloseReason) -> None:
-        """Read no more commands, and half-close once all responses are written."""
-        self.stage = Stage.ENDING
+    def end_when_idle(self, reason: CloseReason) -> None:
+        """Half-close once all commands that have arrived are answered."""
+        self.ends_when_idle = True
         self._note_close(reason)
 
     def end_unfinished_command(self) -> None:
@@ -539,9 +540,8 @@
             return
         # The first command of a new connection is probably on its way.
         is_new = self.waiting_since > self.clients.driver.loop.time() - FIRST_COMMAND_GRACE
-        if self.stage is Stage.ENDING or (
-            self.clients.drain.closing_idle and not is_new and self._is_between_requests()
-        ):
+        ends_when_idle = self.ends_when_idle or self.clients.drain.closing_idle
+        if self.stage is Stage.ENDING or (ends_when_idle and not is_new and self._is_between_requests()):
             self._note_close(CloseReason.DRAIN)
             self.half_close()
 
--- a/saffrongw/commands.py
+++ b/saffrongw/commands.py
@@ -92,7 +92,7 @@
         # A connection accepted beyond the limit is closed if the limit is still exceeded, to free its
         # descriptor. BUSY says that the request was not executed; it may be retried after 1000 ms.
         if client.is_surplus and len(self.clients.open) > self.clients.max_connections:
-            client.end_after_replies(CloseReason.CROWDED)
+            client.end_when_idle(CloseReason.CROWDED)
             self.clients.driver.stats["refused_crowded"] += 1
             return client.reply(b"-BUSY 1000\r\n", body_bytes)
         if self.clients.drain.refusing_requests:
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -619,3 +619,20 @@
         new.sock.close()
         assert await asyncio.wait_for(process.wait(), 10) == 0
         assert sorted(int(command[2][2:]) for command in host.commands) == [*range(12), 100, 101]
+
+
+@pytest.mark.parametrize("in_pieces", [False, True], ids=["at once", "in pieces"])
+@asyncio_test
+async def test_all_commands_on_a_surplus_connection_are_answered(in_pieces):
+    """Those behind the first one were read and never answered (issue 51)."""
+    host = await FakeHost("a").listen()
+    gateway = LoopbackGateway(host)
+    plain, client = await connect(gateway)
+    gateway.clients.max_connections, client.is_surplus = 0, True
+    commands = b"".join(request(number, b"bill") for number in range(5))
+    if in_pieces:
+        client.data_received(commands[:-10])
+        commands = commands[-10:]
+    plain.send(commands)
+    assert await plain.read_until_close() == b"-BUSY 1000\r\n" * 5
+    assert host.commands == []
