Play hostile clients beside sound ones on a real gateway process, from a seed

In the tests it runs for 8 s each with seeds 1 to 3 at 64, 128 and 192 MB, with a process that keeps 100 KB a request, which the memory judge finds, and with a planted violation for each judge.

--- /dev/null
+++ b/tests/test_pressure_soak.py
@@ -0,0 +1,68 @@
+"""Hostile clients beside sound ones on a real gateway process, short and from a seed; and the judge itself.
+
+The long play is started by hand: ``python -m lab.pressure_soak --seed 7 --seconds 300``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from lab.pressure import ANSWER_GRACE, CLOSE_GRACE, Observations, Run, SoundRequest, violations
+from lab.pressure_soak import MEBIBYTE, Play, play_soak
+
+LEAKING_PROGRAM = """
+from saffrongw import __main__, calls
+kept, finish = [], calls.Call.finish
+calls.Call.finish = lambda call: (kept.append(bytearray(100_000)), finish(call))
+raise SystemExit(__main__.main())
+"""
+
+
+def sound_observations() -> Observations:
+    seen = Observations(64 * MEBIBYTE, memory=[30 * MEBIBYTE])
+    seen.requests = [
+        SoundRequest("a", 1.0, 2.0, answered_at=1.5),
+        SoundRequest("b", 1.0, 2.0, answered_at=3.5),
+    ]
+    seen.runs = [Run("a", 1.1), Run("b", 1.1), Run("left", 1.0 + CLOSE_GRACE / 2)]
+    seen.closed_at, seen.unsafe = {"left": 1.0}, {"a", "left"}
+    return seen
+
+
+def test_judge_finds_nothing_in_a_sound_play():
+    assert violations(sound_observations()) == []
+
+
+@pytest.mark.parametrize(
+    ("defect", "expected"),
+    [
+        (lambda seen: seen.memory.append(65 * MEBIBYTE), "resident"),
+        (lambda seen: setattr(seen, "has_exited", True), "has ended"),
+        (lambda seen: setattr(seen.requests[0], "answered_at", None), "has no answer"),
+        (lambda seen: setattr(seen.requests[0], "answered_at", 3.1 + ANSWER_GRACE), "answered after"),
+        (lambda seen: setattr(seen.requests[0], "is_whole", False), "something else"),
+        (lambda seen: seen.runs.append(Run("left", 1.05 + CLOSE_GRACE)), "after its client closed"),
+        (lambda seen: seen.runs.append(Run("a", 1.2)), "ran twice"),
+    ],
+)
+def test_judge_finds_each_violation(defect, expected):
+    seen = sound_observations()
+    defect(seen)
+    assert any(expected in text for text in violations(seen))
+
+
+@pytest.mark.parametrize(("seed", "memory_mb"), [(1, 64), (2, 128), (3, 192)])
+def test_sound_clients_get_what_they_are_owed_beside_hostile_ones(seed, memory_mb):
+    seen = asyncio.run(play_soak(Play(seed, 8.0, memory_mb, hostile=80)))
+    assert violations(seen) == []
+    served = sum(request.outcome == "served" for request in seen.requests)
+    assert served > len(seen.requests) // 2
+
+
+def test_a_process_that_keeps_bodies_is_found(tmp_path, monkeypatch):
+    (tmp_path / "leaking_gateway.py").write_text(LEAKING_PROGRAM)
+    monkeypatch.setenv("PYTHONPATH", str(tmp_path))
+    seen = asyncio.run(play_soak(Play(1, 8.0, 64, hostile=20, module="leaking_gateway")))
+    assert any("resident" in text for text in violations(seen))
