Move socket queries and the driver's interfaces into modules of their own

Change: ops/sockets.py asks for unread bytes and an end; driver_interfaces.py has the protocols of hosts, successor and observer. Behaviour is unchanged.

--- a/ops/sockets.py
+++ b/ops/sockets.py
@@ -1,15 +1,16 @@
-"""Tells how much of what was written to a connection the other side has received."""
+"""Tells of a connection what is unread, unsent or not received, and whether the other side has ended it."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import fcntl
+import select
 import socket
 import struct
 import termios
 
-QUEUE_SIZE = struct.Struct("i")  # what TIOCOUTQ returns
+QUEUE_SIZE = struct.Struct("i")  # what TIOCOUTQ and FIONREAD return
 LINGER = struct.Struct("ii")  # on or off, seconds
 
 
@@ -23,14 +24,39 @@
 
 
 def _kernel_queue_size(sock: socket.socket) -> int:
-    """Return the size of the socket's send queue; 0 where it is closed or the kernel does not tell."""
+    return _ask_size(sock, termios.TIOCOUTQ)
+
+
+def unread_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how much input the socket holds."""
+    return _ask_size(transport.get_extra_info("socket"), termios.FIONREAD)
+
+
+def _ask_size(sock: socket.socket, request: int) -> int:
+    """Return the size of one of the socket's queues; 0 where it is closed or the kernel does not tell."""
     try:
-        reply = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(QUEUE_SIZE.size))
+        reply = fcntl.ioctl(sock.fileno(), request, bytes(QUEUE_SIZE.size))
     except (OSError, ValueError):
         return 0
     return int(QUEUE_SIZE.unpack(reply)[0])
 
 
+def has_ended(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the other side has closed or reset the connection, even behind unread input."""
+    return _polls_as(transport, select.POLLRDHUP)
+
+
+def has_input_or_ended(transport: asyncio.BaseTransport) -> bool:
+    """Return whether there is anything to read, an end included."""
+    return _polls_as(transport, select.POLLIN | select.POLLRDHUP)
+
+
+def _polls_as(transport: asyncio.BaseTransport, events: int) -> bool:
+    poller = select.poll()
+    poller.register(transport.get_extra_info("socket").fileno(), events)
+    return bool(poller.poll(0))
+
+
 def reset_connection(transport: asyncio.Transport) -> None:
     """Close a connection so that the kernel drops what it has not sent, instead of sending it later."""
     if _kernel_queue_size(transport.get_extra_info("socket")):
--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -3,18 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
-import select
 import socket
-import sys
-import termios
 from collections import deque
 from enum import Enum, auto
 from typing import TYPE_CHECKING
 
 import hiredis
 
-from ops.sockets import DeliveryWatch
+from ops.sockets import DeliveryWatch, has_ended, unread_bytes
 
 from .request_log import CloseReason
 from .requests import BODY_INDEX
@@ -186,7 +182,7 @@
         missing = 1
         if self.upload:
             missing = self.upload.large.bytes_left + len(CRLF) - self.reader.held_bytes
-        if not self.backlog_since and self._unread_bytes() >= missing:
+        if not self.backlog_since and unread_bytes(self.transport) >= missing:
             self._note_backlog(self.last_seen)
 
     def seconds_waited(self) -> float:
@@ -516,23 +512,11 @@
         return not self.slots and not self.upload and is_parsed and not self._has_unread_bytes()
 
     def _has_unread_bytes(self) -> bool:
-        return self._unread_bytes() > 0
-
-    def _unread_bytes(self) -> int:
-        """Return how much unread input the socket holds."""
-        try:
-            descriptor = self.transport.get_extra_info("socket").fileno()
-            return int.from_bytes(fcntl.ioctl(descriptor, termios.FIONREAD, bytes(4)), sys.byteorder)
-        except (OSError, ValueError):
-            return 0  # FIONREAD is not supported, or the socket is closing
+        return unread_bytes(self.transport) > 0
 
     def client_has_closed(self) -> bool:
         """Return whether the client has closed; its FIN may wait behind input while reading is paused."""
-        if self.transport.is_closing():
-            return False
-        poller = select.poll()
-        poller.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        return bool(poller.poll(0))
+        return not self.transport.is_closing() and has_ended(self.transport)
 
     def close_if_idle(self) -> None:
         """Half-close between two requests, if the connection is ending or the gateway is draining."""
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -9,7 +9,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from typing import ClassVar, Protocol
+from typing import ClassVar
 
 from ops import logs
 from orchidlane import interface as api
@@ -18,6 +18,7 @@
 from .calls import Attempt, Body, Call, ClientSlot, Sink, Source, Terms
 from .clock import Clock
 from .config import HostList
+from .driver_interfaces import Hosts, Observer, Successor
 from .readiness import Readiness
 from .request_log import RequestLog
 from .stats import Stats
@@ -53,54 +54,6 @@
     )
 
 
-class Hosts(Protocol):
-    """The driver's view of ``hosts.Hosts``."""
-
-    def send(self, attempt: Attempt) -> None:
-        """Start an attempt."""
-
-    def abandon(self, attempt: Attempt) -> None:
-        """Give up an attempt; its outcome is reported by the caller."""
-
-    def is_delivered(self, attempt: Attempt) -> bool:
-        """Return whether the host has received the whole request of an attempt."""
-
-    def apply_host_list(self, host_list: HostList) -> list[Attempt]:
-        """Apply an update of discovery's list; return queued attempts that must not be sent any more."""
-
-    def accepts_requests(self, server: api.Server) -> bool:
-        """Return whether discovery's newest list names the host as one that may get new requests."""
-
-    def ban_host(self, server: api.Server) -> list[Attempt]:
-        """Close a banned host's idle connections; return queued attempts that must not be sent any more."""
-
-
-class Successor(Protocol):
-    """The process that has taken over the state, as implemented in ``handover_server.py``."""
-
-    def forward_request(self, call: Call) -> None:
-        """Have the successor decide on a request; its answer comes back through ``answer_relayed``."""
-
-    def client_gone(self, call: Call) -> None:
-        """Report that the client of a relayed request has gone."""
-
-    def forward_event(self, event: api.AttemptElsewhere | api.AttemptEnded | api.PeerMessage) -> None:
-        """Forward an event that affects the successor's state."""
-
-
-class Observer(Protocol):
-    """Receives measurements for ``metrics.py``, if that is enabled; durations are in microseconds."""
-
-    def request_finished(self, kind: int, outcome: str, server: api.Server, duration: int) -> None:
-        """Record a request of this class that got its final answer, or whose client has gone.
-
-        ``server`` is empty unless a host served it.
-        """
-
-    def attempt_finished(self, outcome: api.Outcome, server: api.Server, duration: int) -> None:
-        """Record a finished attempt."""
-
-
 class Driver:
     """The gateway's decision module with its clock and timers, and all requests in flight."""
 
--- a/saffrongw/host_connection.py
+++ b/saffrongw/host_connection.py
@@ -7,14 +7,13 @@
 from __future__ import annotations
 
 import asyncio
-import select
 import socket
 from enum import Enum, auto
 from typing import TYPE_CHECKING
 
 import hiredis
 
-from ops.sockets import reset_connection, unacknowledged_bytes
+from ops.sockets import has_input_or_ended, reset_connection, unacknowledged_bytes
 from orchidlane import interface as api
 
 from .calls import Attempt, Sink
@@ -97,11 +96,7 @@
 
     def is_clean(self) -> bool:
         """Return whether the socket has nothing to read: no close, no reset and no unrequested bytes."""
-        if self.transport.is_closing():
-            return False
-        poller = select.poll()
-        poller.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
-        return not poller.poll(0)
+        return not (self.transport.is_closing() or has_input_or_ended(self.transport))
 
     def start_attempt(self, attempt: Attempt, now: int) -> None:
         """Write an attempt's request."""
