Count the wait of unread requests for the bytes that were there, not for what follows

What callers could see: a client that always has more in its socket had the wait of its first requests counted for all later ones, until each was refused as too late.

Cause: the note of since when input lay unread was dropped only once the socket was empty.

Change: the note has the bytes that it speaks of, and ends when they have been read and executed.

--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -77,6 +77,7 @@
         self.last_seen = self.waiting_since  # when the client was last known to be connected, while paused
         # Loop time since when the input that is processed next may have been here; 0: it has just arrived.
         self.backlog_since = 0.0
+        self.backlog_bytes = 0  # of that input, still in the socket
         self.transport: asyncio.Transport | None = None
         self.close_reason: CloseReason | None = None  # the first one, once this side has begun to close
 
@@ -158,7 +159,7 @@
         if not self.reading_paused and self.stage is Stage.OPEN:
             self.paused_at = self.last_seen = self.clients.driver.loop.time()
             if self.reader.is_behind and not self.upload:
-                self._note_backlog(self.paused_at)
+                self._note_backlog(self.paused_at, unread_bytes(self.transport))
             self.reading_paused = True
             self.transport.pause_reading()
 
@@ -174,16 +175,18 @@
             self._extend_timeouts(self.clients.driver.loop.time() - self.paused_at)
             self.transport.resume_reading()
 
-    def _note_backlog(self, since: float) -> None:
-        self.backlog_since = self.backlog_since or since
+    def _note_backlog(self, since: float, size: int) -> None:
+        """Note since when input may be here, and how much of it is in the socket; what comes later is not."""
+        if not self.backlog_since:
+            self.backlog_since, self.backlog_bytes = since, size
 
     def _look_for_backlog(self) -> None:
         """Note since when the next command may lie unread in the socket: its time runs from its last byte."""
         missing = 1
         if self.upload:
             missing = self.upload.large.bytes_left + len(CRLF) - self.reader.held_bytes
-        if not self.backlog_since and unread_bytes(self.transport) >= missing:
-            self._note_backlog(self.last_seen)
+        if (unread := unread_bytes(self.transport)) >= missing:
+            self._note_backlog(self.last_seen, unread)
 
     def seconds_waited(self) -> float:
         """Return for how long the command that has been read now may have been here."""
@@ -229,6 +232,7 @@
             self.clients.driver.stats["client_read_away"] += len(data)
             return
         self.clients.driver.stats["client_bytes_in"] += len(data)
+        self.backlog_bytes = max(0, self.backlog_bytes - len(data))
         self.reader.feed(data)
         self._count_held_bytes()
         self.clients.scheduler.submit(self)
@@ -254,7 +258,7 @@
 
     def input_processed(self) -> None:
         """Read on, unless the connection is to end or the client has to wait for something."""
-        if self.backlog_since and not self.reader.is_behind and not self._has_unread_bytes():
+        if self.backlog_since and not (self.reader.is_behind or self.backlog_bytes):
             self.backlog_since = 0.0
         if self.ends_after_input and not self.has_unprocessed_input():
             self.end_unfinished_command()
--- a/tests/test_time_before_reading.py
+++ b/tests/test_time_before_reading.py
@@ -133,3 +133,18 @@
     assert await plain.read(5) in (b"-ERR ", b"-BUSY")
     assert gateway.loop.time() - sent_at < 0.6 + 0.5
     sock.close()
+
+
+@asyncio_test
+async def test_wait_of_some_requests_is_not_counted_for_those_that_come_later():
+    """While more always lay in the socket, the first wait was counted for ever: all were refused at last."""
+    gateway = LoopbackGateway(await FakeHost("a").listen())
+    plain, client = await connect(gateway)
+    first, later = request(1), request(2)
+    client.backlog_since, client.backlog_bytes = gateway.loop.time() - 10.0, len(first)
+    plain.send(request(3) * 50)  # lies in the socket until the event loop runs
+    client.data_received(first)
+    assert gateway.driver.stats["refused_spent"] == 1 and not gateway.driver.calls
+    client.data_received(later)
+    assert gateway.driver.stats["refused_spent"] == 1 and gateway.driver.calls
+    plain.sock.close()
