Move a client's sending side and its unread input into modules of their own

What is sent and whether the client receives it is ClientOutput now (client_output.py), since when input may lie unread is InputBacklog (input_backlog.py). Nothing behaves differently; tests name the new places and assert what they did.

--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -10,8 +10,10 @@
 
 import hiredis
 
-from ops.sockets import DeliveryWatch, has_ended, unread_bytes
+from ops.sockets import has_ended, unread_bytes
 
+from .client_output import ClientOutput
+from .input_backlog import InputBacklog
 from .request_log import CloseReason
 from .requests import BODY_INDEX
 from .resp import CRLF, VALUE_BYTES_MAX, Reader
@@ -37,7 +39,6 @@
 SWEEP_INTERVAL = 0.2  # between two checks of all connections' timeouts
 COMMAND_TIMEOUT = 2.2  # for the first command, for the rest of one, or for more of a large body
 FIRST_COMMAND_GRACE = 0.3  # in which a new connection is not closed as idle during a drain
-WRITE_STALL_TIMEOUT = 10.0  # for which a client may leave its responses unread
 LINGER_TIMEOUT = 1.0  # of a lingering close: input is discarded after the half-close
 
 
@@ -68,22 +69,17 @@
         # Loop time since when the first command or the rest of one is awaited; 0: none is.
         self.waiting_since = clients.driver.loop.time()
         self.was_overdue = False  # no complete command in time at the last check; two in a row close it
-        self.delivery = DeliveryWatch()
-        # Loop time since when the client has received nothing although responses wait for it; 0: none do.
-        self.stalled_since = 0.0
-        self.unsent_bytes = 0  # bytes in the write buffer, as counted while the client does not read
+        self.output = ClientOutput(clients.driver.loop.time, clients.waiting_replies)
         self.reading_paused = False
         self.paused_at = self.waiting_since  # when reading was paused the last time
         self.last_seen = self.waiting_since  # when the client was last known to be connected, while paused
-        # Loop time since when the input that is processed next may have been here; 0: it has just arrived.
-        self.backlog_since = 0.0
-        self.backlog_bytes = 0  # of that input, still in the socket
+        self.backlog = InputBacklog()
         self.transport: asyncio.Transport | None = None
         self.close_reason: CloseReason | None = None  # the first one, once this side has begun to close
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Set up an accepted connection."""
-        self.transport = transport
+        self.transport = self.output.transport = transport
         transport.get_extra_info("socket").setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
         )
@@ -103,7 +99,7 @@
 
         After ``Stage.OPEN``, ``_pause_reading`` does nothing, since input is discarded from then on.
         """
-        self._begin_delivery_watch()
+        self.output.watch()
         self._count_unsent_bytes()
         if self.slots and (stream := self.slots[0].stream):
             stream.set_client_reads(False)
@@ -112,30 +108,19 @@
     def resume_writing(self) -> None:
         """Resume reading and streaming, as the write buffer has drained."""
         if self.stage is not Stage.HALF_CLOSED:  # then the kernel's part of the responses is waited for, too
-            self.stalled_since = 0.0
+            self.output.stalled_since = 0.0
         self._count_unsent_bytes()
         if self.slots and (stream := self.slots[0].stream):
             stream.set_client_reads(True)
         self._continue()
 
-    def _begin_delivery_watch(self) -> None:
-        self.stalled_since = self.clients.driver.loop.time()
-        self.delivery.has_progressed(self.transport)
-
     def _count_unsent_bytes(self) -> None:
-        """Count the responses that a client leaves unread; those of a client that reads are soon sent.
-
-        Those of a value that is passed on are counted by its stream.
-        """
-        unsent_before, self.unsent_bytes = self.unsent_bytes, 0
-        unsent = 0
-        if self.stalled_since and not self.transport.is_closing():
-            unsent = self.transport.get_write_buffer_size()
+        """Count what the client leaves unread; that of a value that is passed on is counted by its stream."""
+        unsent_bytes = self.output.unsent_bytes()
         if self.slots and (stream := self.slots[0].stream):
-            stream.count_unsent(unsent)
-        else:
-            self.unsent_bytes = unsent
-        self.clients.waiting_replies.change(unsent_before, self.unsent_bytes)
+            stream.count_unsent(unsent_bytes)
+            unsent_bytes = 0
+        self.output.count(unsent_bytes)
 
     def reserved_unused_bytes(self) -> int:
         """Return how much of the memory that is counted for this client it does not hold yet."""
@@ -153,13 +138,13 @@
 
     def _must_pause_reading(self) -> bool:
         is_full = len(self.slots) >= PIPELINE_MAX
-        return self.stalled_since > 0 or is_full or self._lacks_memory() or self._is_passing_on()
+        return self.output.stalled_since > 0 or is_full or self._lacks_memory() or self._is_passing_on()
 
     def _pause_reading(self) -> None:
         if not self.reading_paused and self.stage is Stage.OPEN:
             self.paused_at = self.last_seen = self.clients.driver.loop.time()
             if self.reader.is_behind and not self.upload:
-                self._note_backlog(self.paused_at, unread_bytes(self.transport))
+                self.backlog.note(self.paused_at, unread_bytes(self.transport))
             self.reading_paused = True
             self.transport.pause_reading()
 
@@ -175,22 +160,17 @@
             self._extend_timeouts(self.clients.driver.loop.time() - self.paused_at)
             self.transport.resume_reading()
 
-    def _note_backlog(self, since: float, size: int) -> None:
-        """Note since when input may be here, and how much of it is in the socket; what comes later is not."""
-        if not self.backlog_since:
-            self.backlog_since, self.backlog_bytes = since, size
-
     def _look_for_backlog(self) -> None:
         """Note since when the next command may lie unread in the socket: its time runs from its last byte."""
         missing = 1
         if self.upload:
             missing = self.upload.large.bytes_left + len(CRLF) - self.reader.held_bytes
         if (unread := unread_bytes(self.transport)) >= missing:
-            self._note_backlog(self.last_seen, unread)
+            self.backlog.note(self.last_seen, unread)
 
     def seconds_waited(self) -> float:
         """Return for how long the command that has been read now may have been here."""
-        return self.clients.driver.loop.time() - self.backlog_since if self.backlog_since else 0.0
+        return self.backlog.seconds(self.clients.driver.loop.time())
 
     def _extend_timeouts(self, seconds: float) -> None:
         """Leave the time in which the client was not read from out of the times that it takes."""
@@ -203,12 +183,7 @@
     def write(self, data: bytes) -> None:
         """Write data, unless the connection is closed for writing."""
         if not self.is_write_closed():
-            self.delivery.written += len(data)
-            self.transport.write(data)
-
-    def received_bytes(self) -> int:
-        """Return how many bytes of its responses the client has received."""
-        return self.delivery.written - self.delivery.undelivered(self.transport)
+            self.output.write(data)
 
     def is_write_closed(self) -> bool:
         """Return whether nothing can be written any more."""
@@ -232,7 +207,7 @@
             self.clients.driver.stats["client_read_away"] += len(data)
             return
         self.clients.driver.stats["client_bytes_in"] += len(data)
-        self.backlog_bytes = max(0, self.backlog_bytes - len(data))
+        self.backlog.received(len(data))
         self.reader.feed(data)
         self._count_held_bytes()
         self.clients.scheduler.submit(self)
@@ -258,8 +233,8 @@
 
     def input_processed(self) -> None:
         """Read on, unless the connection is to end or the client has to wait for something."""
-        if self.backlog_since and not (self.reader.is_behind or self.backlog_bytes):
-            self.backlog_since = 0.0
+        if not self.reader.is_behind:
+            self.backlog.processed()
         if self.ends_after_input and not self.has_unprocessed_input():
             self.end_unfinished_command()
         if self._must_pause_reading():
@@ -327,19 +302,17 @@
         A command timeout must be exceeded in two successive sweeps: if the event loop was blocked, input that
         arrived meanwhile is read between the two.
         """
-        self._check_unread(cutoff)
+        self._check_unread()
         if self.slots and self.slots[0].stream:
             self.flush()  # a value that waits for memory may begin
         if self.stage is not Stage.HALF_CLOSED:
             self.check_gone()
             self._check_overdue(cutoff)
 
-    def _check_unread(self, cutoff: float) -> None:
-        """Abort a connection whose client has received nothing of its responses for WRITE_STALL_TIMEOUT."""
+    def _check_unread(self) -> None:
+        """Abort a connection whose client has received nothing of its responses for too long."""
         self._count_unsent_bytes()
-        if self.stalled_since and self.delivery.has_progressed(self.transport):
-            self.stalled_since = cutoff + COMMAND_TIMEOUT  # slow, but it reads
-        if 0 < self.stalled_since < cutoff - (WRITE_STALL_TIMEOUT - COMMAND_TIMEOUT):
+        if self.output.has_stalled():
             self.clients.driver.stats["client_unread"] += 1
             self._note_close(CloseReason.STALLED)
             self.transport.abort()  # close() would wait until the client has read everything
@@ -450,10 +423,7 @@
         self.stage = Stage.HALF_CLOSED
         self.clients.mark_half_closed(self)
         self._release_resources()
-        if not self.stalled_since:
-            self._begin_delivery_watch()
-        self.delivery.is_ended = True
-        self.transport.write_eof()
+        self.output.end()
         self._linger()
 
     def _linger(self) -> None:
@@ -461,7 +431,7 @@
 
     def _abort_after_linger(self) -> None:
         if not self.transport.is_closing():
-            if self.delivery.undelivered(self.transport):  # a slow reader; check_timeouts ends stalled ones
+            if self.output.undelivered_bytes():  # a slow reader; check_timeouts ends stalled ones
                 self._linger()
             else:
                 self.transport.abort()
@@ -485,7 +455,7 @@
         while self.slots and ((slot := self.slots[0]).begun or slot.may_begin()):
             if not slot.begun:
                 slot.begin_writing()
-                if self.stalled_since:
+                if self.output.stalled_since:
                     self._count_unsent_bytes()
             if slot.stream:
                 self._pass_on(slot.stream)
@@ -497,7 +467,7 @@
     def _pass_on(self, stream: StreamedReply) -> None:
         """Have a value pass to the client as it comes, and read no more commands meanwhile."""
         self._pause_reading()
-        stream.set_client_reads(not self.stalled_since)
+        stream.set_client_reads(not self.output.stalled_since)
 
     def has_nothing_behind(self, slot: Slot) -> bool:
         """Return whether the slot is the last one, and no part of a further command has arrived."""
@@ -509,7 +479,7 @@
 
         With event loop lag, requests are often still unread; closing then would force the client to retry.
         """
-        return self._is_between_requests() and not self.stalled_since
+        return self._is_between_requests() and not self.output.stalled_since
 
     def _is_between_requests(self) -> bool:
         is_parsed = self.reader.at_boundary
--- a/saffrongw/drain.py
+++ b/saffrongw/drain.py
@@ -10,7 +10,8 @@
 
 from ops import logs
 
-from .client import WRITE_STALL_TIMEOUT, Client
+from .client import Client
+from .client_output import WRITE_STALL_TIMEOUT
 from .hosts import STREAM_IDLE_TIMEOUT
 
 if TYPE_CHECKING:
@@ -112,7 +113,7 @@
     def _is_awaiting_readers(self, seconds: float, received_before: dict[Client, int]) -> bool:
         """Return whether a client has kept reading fast enough for ``seconds`` beyond the usual end."""
         return any(
-            client.received_bytes() - received_before.get(client, 0) >= READ_RATE_MIN * seconds
+            client.output.received_bytes() - received_before.get(client, 0) >= READ_RATE_MIN * seconds
             for client in self.clients.connections()
         )
 
@@ -150,7 +151,7 @@
         commands_cut_off_at = start + accept_time + SHUTDOWN_COMMAND_TIMEOUT
         time_left = max((call.deadline for call in driver.calls.values()), default=0) - driver.clock()
         cut_off_at = loop.time() + max(0.0, time_left / 1e6) + WRITE_STALL_TIMEOUT
-        received_before = {client: client.received_bytes() for client in clients.connections()}
+        received_before = {client: client.output.received_bytes() for client in clients.connections()}
         while not clients.is_finished and (
             loop.time() < cut_off_at
             or self._is_awaiting_readers(loop.time() - cut_off_at, received_before)
--- a/saffrongw/response_slots.py
+++ b/saffrongw/response_slots.py
@@ -57,7 +57,7 @@
 
     def begin_writing(self) -> None:
         """Write the bytes that are ready, even if the client does not read them."""
-        if self.client.stalled_since:
+        if self.client.output.stalled_since:
             self._drop_reply_without_memory()
         self.begun = True
         self._release_reply()
--- a/saffrongw/streamed_reply.py
+++ b/saffrongw/streamed_reply.py
@@ -113,7 +113,7 @@
     def write(self, data: bytes) -> None:
         """Take the next chunk."""
         if self.stage is Stage.PASSED_ON:
-            self.recent_bytes = len(data) + (self.recent_bytes if self.client.stalled_since else 0)
+            self.recent_bytes = len(data) + (self.recent_bytes if self.client.output.stalled_since else 0)
             self.client.write(data)
             return
         self.slot.add(data)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -14,7 +14,7 @@
 from conftest import RAW_SETTINGS, FakeClient, FakeHost, LoopbackGateway, asyncio_test, until
 
 from orchidlane import interface as api
-from saffrongw import client as client_module
+from saffrongw import client_output
 from saffrongw import hosts as hosts_module
 from saffrongw.client import (
     COMMAND_BYTES_MAX_ALL,
@@ -490,7 +490,7 @@
 
 @asyncio_test
 async def test_client_that_never_reads_its_responses_is_closed(monkeypatch):
-    monkeypatch.setattr(client_module, "WRITE_STALL_TIMEOUT", COMMAND_TIMEOUT + 0.6)
+    monkeypatch.setattr(client_output, "WRITE_STALL_TIMEOUT", COMMAND_TIMEOUT + 0.6)
     gateway = LoopbackGateway(await FakeHost("a").listen())
     client = await gateway.connect_client()
     client.transport.pause_reading()
--- a/tests/test_input_flood.py
+++ b/tests/test_input_flood.py
@@ -293,7 +293,7 @@
     plain, client = await connect(gateway, receive_buffer=4096)
     client.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     plain.send(request(1) + request(2))
-    await until(lambda: client.stalled_since and not client.slots)
+    await until(lambda: client.output.stalled_since and not client.slots)
     client.data_received(b"".join(request(number) for number in range(3, 8)))
     drain = gateway.clients.drain
     if ends_by == "drain":
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -13,6 +13,7 @@
 from conftest import FakeHost, LoopbackGateway, asyncio_test, until
 
 from saffrongw import client as client_module
+from saffrongw import client_output
 from saffrongw import drain as drain_module
 from saffrongw import hosts as hosts_module
 from saffrongw import uploads as uploads_module
@@ -245,7 +246,7 @@
 
 @asyncio_test
 async def test_slow_reader_is_kept_as_long_as_it_reads(monkeypatch):
-    monkeypatch.setattr(client_module, "WRITE_STALL_TIMEOUT", client_module.COMMAND_TIMEOUT + 0.6)
+    monkeypatch.setattr(client_output, "WRITE_STALL_TIMEOUT", client_module.COMMAND_TIMEOUT + 0.6)
     host = await FakeHost("a").listen()
     value = random.Random(6).randbytes(LARGE_VALUE_BYTES_MAX)
     host.script = lambda command: answer(value)
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -20,7 +20,7 @@
 from ops import http
 from orchidlane import interface as api
 from saffrongw import client as client_module
-from saffrongw import config
+from saffrongw import client_output, config
 from saffrongw import drain as drain_module
 from saffrongw.client import COMMAND_TIMEOUT, LINGER_TIMEOUT, Stage
 from saffrongw.driver import ACKNOWLEDGEMENT_DELAY
@@ -53,14 +53,14 @@
     host.script = lambda command: answer(VALUE)
     plain, client = await connect(gateway, receive_buffer=CLIENT_BUFFER)
     plain.send(request(1, deadline_ms=3_000))
-    await until(lambda: client.stalled_since)
+    await until(lambda: client.output.stalled_since)
     return plain, client
 
 
 @asyncio_test
 async def test_a_client_that_reads_slowly_is_kept_while_only_the_kernel_sends(monkeypatch):
     """It was cut off: while the kernel sent its megabytes, the process's own buffer stood still."""
-    monkeypatch.setattr(client_module, "WRITE_STALL_TIMEOUT", STALL_TIMEOUT)
+    monkeypatch.setattr(client_output, "WRITE_STALL_TIMEOUT", STALL_TIMEOUT)
     host = await FakeHost("a").listen()
     gateway = LoopbackGateway(host)
     plain, _ = await slow_reader(gateway, host)
@@ -72,7 +72,7 @@
 
 @asyncio_test
 async def test_a_client_that_stops_reading_is_let_go(monkeypatch):
-    monkeypatch.setattr(client_module, "WRITE_STALL_TIMEOUT", STALL_TIMEOUT)
+    monkeypatch.setattr(client_output, "WRITE_STALL_TIMEOUT", STALL_TIMEOUT)
     host = await FakeHost("a").listen()
     gateway = LoopbackGateway(host)
     plain, _ = await slow_reader(gateway, host)
@@ -100,7 +100,7 @@
     else:
         plain.send(b"junk\r\n")
     await until(lambda: client.stage is Stage.HALF_CLOSED)
-    assert not client.transport.get_write_buffer_size() and client.delivery.undelivered(client.transport)
+    assert not client.transport.get_write_buffer_size() and client.output.undelivered_bytes()
     received = await read_slowly(plain, LINGER_TIMEOUT / 2)
     await asyncio.sleep(LINGER_TIMEOUT)  # reads nothing in the second in which it was closed
     plain.send(request(2))
@@ -113,7 +113,7 @@
 
 @asyncio_test
 async def test_a_half_closed_connection_whose_client_stops_is_let_go(monkeypatch):
-    monkeypatch.setattr(client_module, "WRITE_STALL_TIMEOUT", STALL_TIMEOUT)
+    monkeypatch.setattr(client_output, "WRITE_STALL_TIMEOUT", STALL_TIMEOUT)
     host = await FakeHost("a").listen()
     host.script = lambda command: answer(b"v" * 60_000)
     gateway = LoopbackGateway(host)
@@ -129,7 +129,7 @@
 @asyncio_test
 async def test_a_shutdown_waits_for_a_client_that_reads_slowly(monkeypatch):
     """It ended at a fixed time after the last deadline, and cut off who was reading."""
-    monkeypatch.setattr(client_module, "WRITE_STALL_TIMEOUT", STALL_TIMEOUT)
+    monkeypatch.setattr(client_output, "WRITE_STALL_TIMEOUT", STALL_TIMEOUT)
     monkeypatch.setattr(drain_module, "WRITE_STALL_TIMEOUT", 0.5)
     host = await FakeHost("a").listen()
     gateway = LoopbackGateway(host)
--- a/tests/test_time_before_reading.py
+++ b/tests/test_time_before_reading.py
@@ -56,7 +56,7 @@
     plain, client = await connect(gateway)
     sent_at = gateway.loop.time()
     plain.send(order(5 * SECOND))
-    await until(lambda: client.backlog_since)
+    await until(lambda: client.backlog.since)
     await asyncio.sleep(0.5)
     waited_ms = 1000 * (gateway.loop.time() - sent_at)
     gateway.clients.upload_memory.free = len(BODY)
@@ -107,7 +107,7 @@
     await until(lambda: client.reading_paused)
     sent_at = gateway.loop.time()
     plain.send(request(2, deadline_ms=deadline_ms))
-    await until(lambda: client.backlog_since)
+    await until(lambda: client.backlog.since)
     await asyncio.sleep(0.5)
     waited_ms = 1000 * (gateway.loop.time() - sent_at)
     host.connections[0].transport.write(answer(BIG)[100_000:])
@@ -141,7 +141,7 @@
     gateway = LoopbackGateway(await FakeHost("a").listen())
     plain, client = await connect(gateway)
     first, later = request(1), request(2)
-    client.backlog_since, client.backlog_bytes = gateway.loop.time() - 10.0, len(first)
+    client.backlog.since, client.backlog.unread_bytes = gateway.loop.time() - 10.0, len(first)
     plain.send(request(3) * 50)  # lies in the socket until the event loop runs
     client.data_received(first)
     assert gateway.driver.stats["refused_spent"] == 1 and not gateway.driver.calls
