Do not begin an order again whose id comes again and that a host may have executed

Change: RepeatGuard holds the ids of such requests while they are in flight and, if a host may have executed them, for 30 s, up to 1/32 of the memory budget. One that comes again fails at once (failed_repeated). The new process of an upgrade gets them with the state; an old process of an earlier version sends none. An id that no host can have run is begun again, as a client sends a request once more that a close has crossed.

Not covered: other gateways, and a process that is started after a kill.

--- a/lab/pressure_soak.py
+++ b/lab/pressure_soak.py
@@ -1,7 +1,8 @@
 """Plays hostile and sound clients against a real gateway process: ``python -m lab.pressure_soak --seed 7``.
 
 Hostile clients leave large requests unfinished, read large values slowly, flood with small or unsound
-commands and ever new customers, or close with much unread. ``lab.pressure`` judges the play.
+commands and ever new customers, close with much unread, or send an order again.
+``lab.pressure`` judges the play.
 """
 
 from __future__ import annotations
@@ -220,6 +221,7 @@
             self._flood_with_junk,
             self._flood_with_names,
             self._close_unread,
+            self._send_again,
             self._read_what_a_host_writes_slowly,
         ]
         hostile = [*patient * self.play.hostile, *once * 3]
@@ -367,6 +369,15 @@
         closed_at = self.loop.time()
         self.seen.closed_at.update(dict.fromkeys(ids, closed_at))
 
+    async def _send_again(self, number: int) -> None:
+        """Send the same order again after leaving, though each request needs an id of its own."""
+        request_id = f"again-{number}"
+        self.seen.unsafe.add(request_id)
+        for pause in (0.1, 0.01, 0.1):
+            with await self._connect() as sock:
+                await self.loop.sock_sendall(sock, command("bill", request_id, number))
+                await asyncio.sleep(pause)
+
     async def _read_what_a_host_writes_slowly(self, number: int) -> None:
         """Read a value that its host writes slowly, which may not be cut off."""
         reader, writer = await asyncio.open_connection(*self.address, limit=8 * MEBIBYTE)
--- a/saffrongw/calls.py
+++ b/saffrongw/calls.py
@@ -91,6 +91,7 @@
     deadline_timer: asyncio.TimerHandle | None = None
     finished: bool = False
     is_relayed: bool = False  # the successor process decides on it
+    guarded_id: bytes | None = None  # the client's id, while it is unsafe to begin another request with it
 
     @property
     def has_open_attempts(self) -> bool:
--- a/saffrongw/driver.py
+++ b/saffrongw/driver.py
@@ -20,12 +20,14 @@
 from .config import HostList
 from .driver_interfaces import Hosts, Observer, Successor
 from .readiness import Readiness
+from .repeat_guard import RepeatGuard
 from .request_log import RequestLog
 from .stats import Stats
 
 log = logs.get_logger(__name__)
 
 MS = 1_000  # microseconds
+REQUEST_ID_INDEX = 2  # of the client's id among the parts of a call
 # The client's deadline runs from when it sent the request, so the answer must leave this much earlier.
 REPLY_MARGIN = 10 * MS
 FAILED_REPLY = b"-ERR failed\r\n"
@@ -65,6 +67,7 @@
         self.calls: dict[int, Call] = {}
         self.stats = Stats()
         self.readiness = Readiness()
+        self.repeat_guard = RepeatGuard(loop.time)
         self.last_request_number = 0
         self.pending_events: deque[api.Event] = deque()
         self.is_handling = False
@@ -117,12 +120,23 @@
         call = Call(event, parts, self.clock() + time_left, answer, slot)
         self.calls[self.last_request_number] = call
         call.deadline_timer = self._call_at(call.deadline, self._deadline_passed, call)
-        if self.successor:
+        if self._is_unsafe_repeat(call):
+            self.stats["failed_repeated"] += 1
+            self._observe(call, "failed")
+            self._finish(call, FAILED_REPLY)
+        elif self.successor:
             self._relay(call)
         else:
             self.feed(event)
         return call
 
+    def _is_unsafe_repeat(self, call: Call) -> bool:
+        """Return whether a request must not be executed twice and its id is that of an earlier request."""
+        effect = self.gateway.settings.classes[call.event.kind].effect
+        return effect is not api.Effect.SAFE and not self.repeat_guard.begin(
+            call, call.parts[REQUEST_ID_INDEX]
+        )
+
     def client_gone(self, call: Call, seconds_unobserved: float = 0.0) -> None:
         """End a request whose client has closed its connection.
 
@@ -482,6 +496,7 @@
     def _release_if_ended(self, call: Call) -> None:
         """Free the last objects of a finished request once its last attempt has ended."""
         if call.finished and not call.has_open_attempts:
+            self.repeat_guard.end(call)
             call.release()
 
     def _withdraw_after_close(self, attempt: Attempt) -> None:
--- a/saffrongw/handover_channel.py
+++ b/saffrongw/handover_channel.py
@@ -56,7 +56,9 @@
 
     From the predecessor:
 
-        state, hosts, clock      the state, followed by rows (accounts), began (open attempts) and end
+        state, hosts, clock      the state, followed by rows (accounts), began (open attempts),
+                                 executed and end
+        executed                 ids of requests that may have been executed and must not be begun again
         arrived, terms, parts    a relayed request
         gone                     the client of a relayed request has gone
         began                    an attempt has started
--- a/saffrongw/handover_server.py
+++ b/saffrongw/handover_server.py
@@ -34,6 +34,7 @@
 log = logs.get_logger(__name__)
 
 ACCOUNTS_PER_MESSAGE = 200  # the event loop runs between two batches
+IDS_PER_MESSAGE = 1_000
 STATE_REQUEST_TIMEOUT = 6.0  # seconds from connecting to the request for the state: the successor starts up
 POLL_INTERVAL = 0.1  # seconds between two checks of the connections that the predecessor still has
 
@@ -171,6 +172,10 @@
             await channel.writer.drain()
         for event in handover.open_attempt_events(gateway):
             channel.send(began=_attempt_row(event))
+        executed_ids = iter(self.driver.repeat_guard.ids_for_successor())
+        while ids := list(islice(executed_ids, IDS_PER_MESSAGE)):
+            channel.send(executed=[request_id.decode("latin-1") for request_id in ids])
+            await channel.writer.drain()
         channel.send(end=True)
 
     # -- after the handover; the driver's interface to the successor
--- a/saffrongw/memory.py
+++ b/saffrongw/memory.py
@@ -32,6 +32,9 @@
 ACCOUNT_SHARE = 1 / 4  # of the budget, for the accounts of customers
 ACCOUNT_BYTES = 1024
 ACCOUNTS_MIN = 1_000
+EXECUTED_ID_SHARE = 1 / 32  # of the budget, for ids that must not be executed twice
+EXECUTED_ID_BYTES = 256
+EXECUTED_IDS_MIN = 1_000
 REQUEST_OVERHEAD_BYTES = 2048  # of the objects that are kept for a request, besides its command
 
 
@@ -95,6 +98,11 @@
     return max(ACCOUNTS_MIN, int(ACCOUNT_SHARE * budget.capacity / ACCOUNT_BYTES))
 
 
+def executed_ids_max(budget: MemoryBudget) -> int:
+    """Return how many ids of executed requests may be kept; they are not counted, but measured."""
+    return max(EXECUTED_IDS_MIN, int(EXECUTED_ID_SHARE * budget.capacity / EXECUTED_ID_BYTES))
+
+
 class MemoryAccount:
     """The bytes of one kind that all connections hold together."""
 
--- a/saffrongw/metrics.py
+++ b/saffrongw/metrics.py
@@ -60,6 +60,7 @@
     "client_gone_waiting": "Requests whose client disconnected before any attempt was sent",
     "client_gone_sent_late": "Requests sent to a host over 0.3 s after their client may have disconnected",
     "relayed": "Requests relayed to the successor of an upgrade",
+    "failed_repeated": "Requests not begun again, as their id may have been executed and is unsafe to repeat",
     "failed_ending": "Requests answered as failed before their time, as a drain or shutdown ended",
     "failed_no_room": "Answers replaced by an error, as too much waited behind others",
     "streamed": "Large answers streamed to clients",
--- a/saffrongw/process.py
+++ b/saffrongw/process.py
@@ -24,7 +24,7 @@
 from .handover_channel import handover_socket_path
 from .handover_server import HandoverServer
 from .hosts import Hosts
-from .memory import MemoryBudget, MemoryMonitor, accounts_max
+from .memory import MemoryBudget, MemoryMonitor, accounts_max, executed_ids_max
 from .peers import Peers
 from .request_log import LEVEL as REQUEST_LOG_LEVEL
 from .request_log import RequestLog
@@ -192,6 +192,7 @@
             await self._wait_for_host_list()
         self.memory_monitor.calibrate()
         driver.gateway.accounts_max = accounts_max(self.budget)
+        driver.repeat_guard.ids_max = executed_ids_max(self.budget)
         listen = functools.partial(self.clients.listen, predecessor and predecessor.listener)
         await listeners.listen_now("clients", config.listen, listen)
         log.info("serving", address=config.listen, list_version=driver.list_version)
--- a/saffrongw/upgrade.py
+++ b/saffrongw/upgrade.py
@@ -120,13 +120,14 @@
                     await host_list_synchronized.wait()
             self.channel.send(take=True)
             async with asyncio.timeout(FREEZE_TIMEOUT):
-                state, rows, attempts_out = await self._receive_state()
+                state, rows, attempts_out, executed_ids = await self._receive_state()
             hosts = tuple(map(_host_entry, state["hosts"]))
             restored = handover.decode(driver.gateway, state["state"], rows)
             driver.clock.base = int(state["clock"])
             if not host_list_synchronized.is_set():
                 driver.apply_host_list(HostList(0, True, hosts))
             restored.apply_to(driver.gateway)
+            driver.repeat_guard.remember(executed_ids)
             for row in attempts_out:
                 self._attempt_started(row)
             # Written directly, not through the transport: the confirmation is sent at once or not at all.
@@ -142,13 +143,14 @@
         log.info("takeover_done", customers=len(rows), attempts_out=len(attempts_out))
         return True
 
-    async def _receive_state(self) -> tuple[dict[str, Any], list[Any], list[Any]]:
-        state, rows, attempts_out = await self.channel.receive(), [], []
+    async def _receive_state(self) -> tuple[dict[str, Any], list[Any], list[Any], list[bytes]]:
+        state, rows, attempts_out, executed_ids = await self.channel.receive(), [], [], []
         while "end" not in (message := await self.channel.receive()):
             rows += message.get("rows", [])
             if "began" in message:
                 attempts_out.append(message["began"])
-        return state, rows, attempts_out
+            executed_ids += [text.encode("latin-1") for text in message.get("executed", [])]
+        return state, rows, attempts_out, executed_ids
 
     def start_receiving(self, execute_command: ExecuteCommand) -> None:
         """Handle the predecessor's messages from now on, until it ends."""
