Take what is reserved for all values of a connection for unused, not for the first alone

Cause: what nothing counts is the resident memory less what is held, and what is held leaves out what is reserved and not used yet. Of a connection with several large values only the first one was looked at; 48 KiB of each that waits behind it passed for held, so too little was taken for uncounted, and the budget too roomy.

Evidence: the new test has two values wait behind a slow answer. 0 of 98,304 reserved bytes were told before, all of them now.

--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -125,9 +125,7 @@
     def reserved_unused_bytes(self) -> int:
         """Return how much of the memory that is counted for this client it does not hold yet."""
         unused = self.upload.bytes_reserved if self.upload else 0
-        if self.slots and (stream := self.slots[0].stream):
-            unused += stream.reserved_unused_bytes
-        return unused
+        return unused + sum(slot.stream.reserved_unused_bytes for slot in self.slots if slot.stream)
 
     def _lacks_memory(self) -> bool:
         return self.upload is not None and not self.upload.has_memory
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -147,6 +147,20 @@
     await until(lambda: not gateway.clients.budget.held)
 
 
+@asyncio_test
+async def test_what_is_reserved_for_values_that_wait_is_not_taken_for_resident_memory():
+    """Only the first value of a connection was looked at, and too little taken for uncounted."""
+    host = await FakeHost("a").listen()
+    host.script = lambda command: None if command[2] == b"slow" else answer(BIG)
+    gateway = LoopbackGateway(host)
+    client = await gateway.connect_client()
+    for request_id in (b"slow", b"big1", b"big2"):
+        client.send_request(request_id=request_id)
+    await until(lambda: sum(connection.paused for connection in gateway.hosts.streams) == 2)
+    (connection,) = gateway.clients.open
+    assert connection.reserved_unused_bytes() == gateway.clients.stream_memory.held == 2 * STREAM_BYTES
+
+
 READERS = 90
 READ_PIECE, READ_INTERVAL = 8 * 1024, 0.25  # bytes, seconds
 MEMORY_MB = 48
