Bound the lists of names in a line of the log, as other fields are

What operators saw: `host_list_applied` names each host that drains or is gone, so its line grows with the list, 36 KB for 3,000 hosts.

Cause: strings were bounded, items of a list were not. A list in the log has 1,200 characters now, and says how many items there are in all; a line with two of them stays within the 4,096 bytes that a pipe takes in one piece.

The new rows of test_fields_keep_their_types_and_stay_on_one_line_of_bounded_length fail without it. A reader that stops reading altogether still holds up the process; that is on the roadmap.

--- a/ops/logs.py
+++ b/ops/logs.py
@@ -18,6 +18,7 @@
 LINES_PER_SECOND = 20.0  # sustained rate limit
 BURST_LINES = 200  # lines that may be written at once
 FIELD_LENGTH_MAX = 400  # characters
+LIST_LENGTH_MAX = 1_200  # characters of all items: a pipe takes a line of 4,096 bytes in one piece
 FORMATS = ("text", "json")
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 # Field of an event that is exempt from the rate limit, as a flood of lines must not suppress the periodic
@@ -99,10 +100,22 @@
             value = " ".join(value.split())
             if len(value) > FIELD_LENGTH_MAX:
                 value = f"{value[:FIELD_LENGTH_MAX]}... ({len(value)} characters)"
+        elif isinstance(value, list):
+            value = _shorten_list(value)
         event[name] = value
     return event
 
 
+def _shorten_list(items: list[Any]) -> list[Any]:
+    """Return as many of the items as may be written, and how many there are if that is not all of them."""
+    length = 0
+    for index, item in enumerate(items):
+        length += len(str(item)) + 1
+        if length > LIST_LENGTH_MAX:
+            return [*items[:index], f"... ({len(items)} in all)"]
+    return items
+
+
 def _join_lists(logger: Any, method: str, event: Event) -> Event:
     """Join lists with commas, for logfmt."""
     return {k: ",".join(map(str, v)) if isinstance(v, list) else v for k, v in event.items()}
--- a/tests/test_stats.py
+++ b/tests/test_stats.py
@@ -65,10 +65,13 @@
         await until(lambda: any(event.get("loop_lag_ms", 100) < 100 for event in events[reported:]))
 
 
+HOSTS = [f"host{number:05d}" for number in range(3000)]  # one that is listed takes 10 characters
 FIELDS = [
     (b"caf\xc3\xa9 \xff", "café \\xff"),
     (("127.0.0.1", 80), "127.0.0.1:80"),
     (("a", "b", "c"), ["a", "b", "c"]),
+    (HOSTS, [*HOSTS[:120], "... (3000 in all)"]),
+    (HOSTS[:120], HOSTS[:120]),
     (ValueError("two\nlines"), "ValueError: two lines"),
     ("x" * 1000, "x" * 400 + "... (1000 characters)"),
     (7, 7),
