--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -247,6 +247,18 @@
         [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=none,d=99,units=1,spread=2,first=0"],
         [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=team,d=-5,units=1,spread=2,first=0"],
         [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=team,d=99,units=nan,spread=2,first=0"],
+        [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=team,d=99,units=1_0e-1,spread=2,first=0"],
+        [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=team,d=99,units= 1,spread=2,first=0"],
+        [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=team,d=99,units=+1,spread=2,first=0"],
+        [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=team,d=99,units=1e400,spread=2,first=0"],
+        [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=team,d=99,units=,spread=2,first=0"],
+        [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=team,d=99,units=1,spread= 1,first=0"],
+        [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=team,d=99,units=1,spread=2,first=0_0"],
+        [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=team,d=99,units=1,spread=2,first=-0"],
+        [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=team,d=99,units=1,spread=2,first=0,x=1"],
+        [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=team,d=99,units=1,spread=2,first=0,=1"],
+        [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=team,d=99,units=1,spread=2,first=0", b"BODY"],
+        [b"CALL.POST", b"0000000000000007", b"id", b"c=bill,t=team,d=99,units=1,spread=2,first=0"],
         [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=team,d=99,units=1,spread=3,first=0"],
         [b"CALL.GET", b"0000000000000007", b"id", b"c=read,t=team,d=99,units=1,spread=2,first=2"],
         [b"CALL.GET", b"0000000000000007", b"id", b"c=bill,t=team,d=99,units=1,spread=2,first=0"],
@@ -287,6 +299,17 @@
     assert host.commands == []
 
 
+@pytest.mark.parametrize("units", [b"1", b"1.", b"0.25", b".5", b"1e-05", b"2.5E-1"])
+@asyncio_test
+async def test_units_may_be_written_in_all_the_ways_of_a_decimal_number(units):
+    host = await FakeHost("a").listen()
+    client = await LoopbackGateway(host).connect_client()
+    terms = b"c=read,t=team,d=2000,k=,units=%b,r=1,spread=2,first=00" % units
+    client.send_command(b"CALL.GET", b"0000000000000007", b"id", terms)
+    assert await client.wait_for_replies() == [b"ok"]
+    assert b"units=%b," % units in host.commands[0][3]
+
+
 @pytest.mark.parametrize("junk", [b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n$400000\r\n" + b"x" * 399_999])
 @asyncio_test
 async def test_connection_is_closed_when_framing_is_lost(junk):
