Execute no operator's call before a new process has taken over from its predecessor

Nothing may be sent to a host 250 ms after its drain is notified.

Cause: the new process executed the call on a state that it was about to replace, and told its predecessor only once it had taken over. Now such a call waits for the takeover, and ends the wait for discovery's list, so that its answer comes within its second. HEALTH is answered as before.

--- a/saffrongw/control.py
+++ b/saffrongw/control.py
@@ -116,6 +116,9 @@
         self.predecessor: OtherProcess | None = None  # if this process has taken over from one
         self.handover_server: OtherProcess | None = None  # forwards to the successor
         self.members: Members | None = None
+        self.takeover_ended = asyncio.Event()  # cleared while a predecessor decides
+        self.takeover_ended.set()
+        self.command_waits = asyncio.Event()  # for the end of the takeover
 
     async def listen(self, address: Address) -> None:
         """Start listening; raise OSError if that fails."""
@@ -145,12 +148,17 @@
         """Execute one command and return its answer.
 
         During a handover, commands wait until it is over; they are then executed by the successor or, if it
-        failed, by this process. HEALTH is neither delayed nor forwarded: it reports on this process alone.
+        failed, by this process. A process that is to take over executes none before, as its predecessor still
+        decides, and its state would overwrite what they change. HEALTH is neither delayed nor forwarded: it
+        reports on this process alone.
         """
         line = line.removesuffix(b"\r")
         if line == b"HEALTH":
             not_ready_reason = self.driver.readiness.not_ready_reason
             return f"error {not_ready_reason}" if not_ready_reason else f"done ready{self.health_warnings()}"
+        if not self.takeover_ended.is_set():
+            self.command_waits.set()
+            await self.takeover_ended.wait()
         while self.driver.frozen:  # during the handover neither process can apply changes
             await asyncio.sleep(HANDOVER_POLL_INTERVAL)
         if self.driver.readiness.handed_over:
--- a/saffrongw/process.py
+++ b/saffrongw/process.py
@@ -29,6 +29,7 @@
 from .request_log import LEVEL as REQUEST_LOG_LEVEL
 from .request_log import RequestLog
 from .stats import resident_bytes
+from .waiting import wait_for_any
 
 if TYPE_CHECKING:
     from .members import Members
@@ -101,6 +102,8 @@
         try:
             self.driver.start(self.config.known)
             self._start_watch(predecessor)
+            if predecessor:
+                self.control.takeover_ended.clear()
             await self._listen_for_operators(
                 retry_if_taken=predecessor is not None or (socket_path is not None and socket_path.exists())
             )
@@ -174,7 +177,9 @@
         The predecessor's sockets are used even if the takeover of its state failed.
         """
         config, driver = self.config, self.driver
-        taken_over = predecessor is not None and await predecessor.take_over(driver, self.watch.synchronized)
+        taken_over = predecessor is not None and await predecessor.take_over(
+            driver, self.watch.synchronized, self.control.command_waits
+        )
         if config.peer_listen and config.settings.may_tell_peers:
             # Without configured peers, membership provides their addresses.
             self.peers = Peers(driver, config.peers, config.settings.rank)
@@ -200,6 +205,7 @@
             predecessor.on_usage = functools.partial(self._update_limits, predecessor)
             predecessor.start_receiving(self.control.execute_locally)
         self.control.predecessor = predecessor
+        self.control.takeover_ended.set()
         self.control.handover_server = HandoverServer(
             driver, self.clients, self.peers, self.control.execute_locally, self.stop
         )
@@ -213,10 +219,7 @@
         If discovery does not answer in time, clients are served from the configured list.
         """
         timeout = max(FIRST_LIST_TIMEOUT, self.watch.spread + self.watch.response_timeout)
-        events = [self.loop.create_task(event.wait()) for event in (self.watch.synchronized, self.stop)]
-        await asyncio.wait(events, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
-        for event in events:
-            event.cancel()
+        await wait_for_any((self.watch.synchronized, self.stop), timeout)
         if not self.watch.synchronized.is_set():
             log.warning("configured_hosts_used", address=self.config.discovery, waited_s=timeout)
 
--- a/saffrongw/upgrade.py
+++ b/saffrongw/upgrade.py
@@ -12,7 +12,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import os
 import socket
@@ -38,6 +37,7 @@
     short_path,
 )
 from .stats import resident_bytes
+from .waiting import wait_for_any
 
 log = logs.get_logger(__name__)
 
@@ -107,17 +107,18 @@
         self.on_usage: Callable[[int, int, int], None] = lambda clients, hosts, memory: None
         self.execute_command: ExecuteCommand | None = None  # for commands that the predecessor forwards
 
-    async def take_over(self, driver: Driver, host_list_synchronized: asyncio.Event) -> bool:
+    async def take_over(
+        self, driver: Driver, host_list_synchronized: asyncio.Event, command_waits: asyncio.Event
+    ) -> bool:
         """Take over the state, after discovery's first list or DISCOVERY_TIMEOUT.
 
-        Return False if that failed: this process then starts without the predecessor's state.
+        A command of an operator ends the wait, as it is executed only after the takeover. Return False if
+        that failed: this process then starts without the predecessor's state.
         """
         self.driver = driver
         try:
             self.channel = await Channel.from_socket(self.sock)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(DISCOVERY_TIMEOUT):
-                    await host_list_synchronized.wait()
+            await wait_for_any((host_list_synchronized, command_waits), DISCOVERY_TIMEOUT)
             self.channel.send(take=True)
             async with asyncio.timeout(FREEZE_TIMEOUT):
                 state, rows, attempts_out, executed_ids = await self._receive_state()
