Carry an ordered drain over to the next process of an upgrade

Cause: the drain was known to the old process alone, which took its no back at the handover. The seconds since the order go with the state now, and the new process takes the steps that are left; LEAVE and JOIN go to both processes. JOIN leaves a shutdown alone: with the call forwarded, a process that has handed over and was told to end would have accepted requests again. An old process of an earlier version tells nothing of a drain.

--- a/saffrongw/control.py
+++ b/saffrongw/control.py
@@ -170,11 +170,14 @@
         match line.split(b" "):
             case [b"LEAVE"]:
                 log.info("control_call", call="leave")
-                self.clients.drain.begin()
+                self.clients.drain.order()
+                await self._forward_to_predecessor(line)  # it still has connections
                 return "done draining"
             case [b"JOIN"]:
                 log.info("control_call", call="join")
-                return self.clients.drain.cancel()
+                answer = self.clients.drain.cancel()
+                await self._forward_to_predecessor(line)
+                return answer
             case [b"MEMBERS"]:
                 if not self.members:
                     return "error no membership: fleet.cluster is not set"
@@ -183,8 +186,11 @@
                 if not self.driver.ban(server, verb == b"OFFLINE"):
                     return "error no such host was ever listed"
                 log.info("control_call", call=verb.decode().lower(), host=server)
-                if self.predecessor:
-                    await self.predecessor.forward(line)  # it still finishes requests of its own
+                await self._forward_to_predecessor(line)  # it still finishes requests of its own
                 return "done out" if verb == b"OFFLINE" else "done back"
             case _:
                 return "error no such call"
+
+    async def _forward_to_predecessor(self, line: bytes) -> None:
+        if self.predecessor:
+            await self.predecessor.forward(line)
--- a/saffrongw/drain.py
+++ b/saffrongw/drain.py
@@ -53,27 +53,46 @@
         self.refusing_requests = False
         self.ending_blockers = False  # requests are answered at once that keep answers from being written
         self.timers: list[asyncio.TimerHandle] = []  # of the later steps of a drain
-
-    def begin(self) -> None:
+        self.is_shutting_down = False
+        self.ordered_at: float | None = None  # loop time of an operator's order, here or at a predecessor
+
+    @property
+    def seconds_since_order(self) -> float | None:
+        """Seconds since an operator ordered the drain; None if none is ordered."""
+        return None if self.ordered_at is None else self.clients.driver.loop.time() - self.ordered_at
+
+    def order(self, seconds_ago: float = 0.0) -> None:
+        """Begin a drain that an operator has ordered, or go on with one that a predecessor has begun."""
+        if self.ordered_at is None:
+            self.ordered_at = self.clients.driver.loop.time() - seconds_ago
+        self.clients.driver.readiness.drain_ordered = True
+        self.begin(seconds_ago)
+
+    def begin(self, seconds_ago: float = 0.0) -> None:
         """Report not ready at once; close idle connections once the load balancer in front has seen that."""
-        if self.clients.driver.readiness.draining or self.clients.driver.readiness.shutting_down:
+        if self.clients.driver.readiness.draining or self.is_shutting_down:
             return
         self.clients.driver.readiness.draining = True
-        call_later = self.clients.driver.loop.call_later
+        steps = {
+            DRAIN_NOTICE_DELAY: self._close_idle,
+            DRAIN_REFUSE_DELAY: self._refuse_requests,
+            DRAIN_CLOSE_DELAY: self._close_without_request,
+        }
         self.timers = [
-            call_later(DRAIN_NOTICE_DELAY, self._close_idle),
-            call_later(DRAIN_REFUSE_DELAY, self._refuse_requests),
-            call_later(DRAIN_CLOSE_DELAY, self._close_without_request),
+            self.clients.driver.loop.call_later(max(0.0, delay - seconds_ago), step)
+            for delay, step in steps.items()
         ]
 
     def cancel(self) -> str:
         """Cancel the drain at any step; return the answer to the operator."""
-        if self.clients.driver.readiness.shutting_down:
+        if self.is_shutting_down:
             return "error ending"
         for timer in self.timers:
             timer.cancel()
+        self.ordered_at = None
+        self.clients.driver.readiness.drain_ordered = False
         self.clients.driver.readiness.draining = False
-        self.closing_idle = False
+        self.closing_idle = self.clients.driver.readiness.handed_over  # then the successor gets them
         self.refusing_requests = False
         self.ending_blockers = False
         for client in self.clients.open:
@@ -139,6 +158,7 @@
         clients = self.clients
         driver = clients.driver
         loop = driver.loop
+        self.is_shutting_down = True
         # After a handover the address stays ready, as the successor serves it.
         driver.readiness.shutting_down = not driver.readiness.handed_over
         self._close_idle()
--- a/saffrongw/handover_channel.py
+++ b/saffrongw/handover_channel.py
@@ -56,6 +56,7 @@
 
     From the predecessor:
 
+        drain_ordered_s          with the state: seconds since an operator ordered a drain, or null
         state, hosts, clock      the state, followed by rows (accounts), began (open attempts),
                                  executed and end
         executed                 ids of requests that may have been executed and must not be begun again
--- a/saffrongw/handover_server.py
+++ b/saffrongw/handover_server.py
@@ -165,7 +165,12 @@
     async def _send_state(self, channel: Channel) -> None:
         gateway, pools = self.driver.gateway, self.driver.hosts.pools
         host_rows = [_host_row(host.entry, pools[server].address) for server, host in gateway.hosts.items()]
-        channel.send(state=handover.encode_state(gateway), hosts=host_rows, clock=self.driver.clock.base)
+        channel.send(
+            state=handover.encode_state(gateway),
+            hosts=host_rows,
+            clock=self.driver.clock.base,
+            drain_ordered_s=self.clients.drain.seconds_since_order,
+        )
         rows = handover.encode_accounts(gateway)
         while batch := list(islice(rows, ACCOUNTS_PER_MESSAGE)):
             channel.send(rows=batch)
--- a/saffrongw/process.py
+++ b/saffrongw/process.py
@@ -198,6 +198,8 @@
         self.memory_monitor.calibrate()
         driver.gateway.accounts_max = accounts_max(self.budget)
         driver.repeat_guard.ids_max = executed_ids_max(self.budget)
+        if taken_over and predecessor.drain_ordered_s is not None:
+            self.clients.drain.order(predecessor.drain_ordered_s)
         listen = functools.partial(self.clients.listen, predecessor and predecessor.listener)
         await listeners.listen_now("clients", config.listen, listen)
         log.info("serving", address=config.listen, list_version=driver.list_version)
--- a/saffrongw/readiness.py
+++ b/saffrongw/readiness.py
@@ -12,6 +12,7 @@
     has_hosts: bool = False  # a list with at least one host has been received
     serving: bool = False  # this process listens for clients
     draining: bool = False  # an operator ordered a drain, or this process yielded its rank
+    drain_ordered: bool = False  # by an operator, at this process or at one before it: it outlives an upgrade
     shutting_down: bool = False  # the process received a signal to end
     has_duplicate_rank: bool = False  # another process runs with the same rank
     handed_over: bool = False  # the successor of an upgrade serves in place of this process
@@ -25,7 +26,7 @@
     def address_not_ready_reason(self) -> str:
         """Why this address should get no new connections, whichever process serves it; empty if ready."""
         if self.handed_over:
-            return ""
+            return "draining" if self.drain_ordered else ""
         if self.shutting_down:
             return "ending"
         if self.has_duplicate_rank:
--- a/saffrongw/upgrade.py
+++ b/saffrongw/upgrade.py
@@ -52,6 +52,15 @@
     return -2 * number - 1 if number > 0 else 2 * number
 
 
+def _optional_seconds(value: object) -> float | None:
+    """Check a duration; None stands for none, as in messages of earlier versions."""
+    if value is None:
+        return None
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+        raise ValueError("not a duration")
+    return float(value)
+
+
 def _host_entry(row: list[Any]) -> HostEntry:
     server, phase, zone, cell, launched, size, host, port = row
     entry = api.ServerEntry(
@@ -103,6 +112,7 @@
         self.relayed: dict[int, Call] = {}  # by the predecessor's request number
         self.pending_commands: dict[int, asyncio.Future[str]] = {}
         self.tasks: list[asyncio.Task] = []
+        self.drain_ordered_s: float | None = None  # seconds since an operator ordered a drain there
         # Called with the client and host connections that the predecessor still has, and its resident bytes.
         self.on_usage: Callable[[int, int, int], None] = lambda clients, hosts, memory: None
         self.execute_command: ExecuteCommand | None = None  # for commands that the predecessor forwards
@@ -125,6 +135,7 @@
             hosts = tuple(map(_host_entry, state["hosts"]))
             restored = handover.decode(driver.gateway, state["state"], rows)
             driver.clock.base = int(state["clock"])
+            self.drain_ordered_s = _optional_seconds(state.get("drain_ordered_s"))
             if not host_list_synchronized.is_set():
                 driver.apply_host_list(HostList(0, True, hosts))
             restored.apply_to(driver.gateway)
--- a/tests/test_operators_in_upgrade.py
+++ b/tests/test_operators_in_upgrade.py
@@ -1,14 +1,20 @@
-"""Operators' calls that cross an upgrade: hosts out by hand, in real processes."""
+"""Operators' calls that cross an upgrade: hosts out by hand and ordered drains, in real processes."""
 
 from __future__ import annotations
 
 import asyncio
 import time
 
-from conftest import FakeClient, FakeHost, GatewayProcesses, asyncio_test, until
+import pytest
+from conftest import FakeClient, FakeHost, GatewayProcesses, LoopbackGateway, asyncio_test, until
 from test_large import answer
 
+from saffrongw import clients as clients_module
+from saffrongw.drain import DRAIN_CLOSE_DELAY, DRAIN_NOTICE_DELAY
+
 DRAIN_GRACE = 0.25  # seconds after an answer, in which a host may still get requests
+LEAVE_LIMIT = 4.0  # seconds after LEAVE, from which on the address may not say yes nor keep a connection
+JOIN_LIMIT = 2.0  # seconds after JOIN, within which it has to say yes
 ANSWER_LIMIT = 1.0  # seconds within which an operator is owed an answer
 WORK = 0.02  # seconds
 CLIENTS = 6  # that send at once, so that both hosts are used
@@ -104,3 +110,67 @@
         await until(lambda: a.begun_at)
         load.cancel()
         await asyncio.gather(load, return_exceptions=True)
+
+
+@asyncio_test
+async def test_an_ordered_drain_goes_on_across_an_upgrade_until_join(tmp_path):
+    """The new process said yes again, as if nobody had ordered a drain."""
+    host = await FakeHost("a").listen()
+    host.script = lambda command: None
+    async with GatewayProcesses(tmp_path, host) as gateway:
+        await gateway.start(long_command_timeout=True)
+        holding = await gateway.connect_client()
+        holding.send_request("bill", deadline_ms=10_000)  # keeps the old process running
+        await until(lambda: host.commands)
+        old_control = gateway.control
+        assert await call(gateway, b"LEAVE") == "done draining\n"
+        left_at = time.monotonic()
+        await gateway.start(ready=False)
+        while not (await gateway.send_control_call(b"HEALTH", old_control)).startswith("error handed over"):
+            await asyncio.sleep(0.01)
+        idle = await gateway.connect_client()
+        idle.send_command(b"PING")
+        assert str((await idle.wait_for_replies())[0]) == "ERR draining"
+        holding.send_command(b"PING")
+        assert (await call(gateway, b"HEALTH")).startswith("error draining")
+        await until(lambda: idle.closed)
+        assert time.monotonic() - left_at < LEAVE_LIMIT
+        while time.monotonic() - left_at < LEAVE_LIMIT:
+            assert await ping(gateway) == "ERR draining"
+            await asyncio.sleep(0.1)
+        joined_at = time.monotonic()
+        assert await call(gateway, b"JOIN") == "done joined\n"
+        while await ping(gateway) != "b'PONG'":
+            await asyncio.sleep(0.01)
+        assert time.monotonic() - joined_at < JOIN_LIMIT
+
+
+@pytest.mark.parametrize("seconds_ago", [0.0, DRAIN_CLOSE_DELAY - 0.3])
+@asyncio_test
+async def test_a_drain_that_a_predecessor_began_ends_when_it_would_have(monkeypatch, seconds_ago):
+    monkeypatch.setattr(clients_module, "COMMAND_TIMEOUT", 60.0)
+    gateway = LoopbackGateway(await FakeHost("a").listen())
+    client = await gateway.connect_client()
+    client.transport.write(b"*1\r\n$4\r\nPI")  # a part of a command keeps it open until the last step
+    await until(lambda: any(not client.reader.at_boundary for client in gateway.clients.open))
+    began_at = gateway.loop.time()
+    gateway.clients.drain.order(seconds_ago)
+    await until(lambda: client.closed)
+    assert abs(gateway.loop.time() - began_at - (DRAIN_CLOSE_DELAY - seconds_ago)) < DRAIN_NOTICE_DELAY / 2
+    assert gateway.clients.drain.seconds_since_order >= DRAIN_CLOSE_DELAY
+
+
+@asyncio_test
+async def test_join_does_not_undo_the_shutdown_of_a_process_that_has_handed_over():
+    """It would have accepted requests again that nothing answers before SIGKILL."""
+    gateway = LoopbackGateway(await FakeHost("a").listen())
+    await gateway.connect_client()
+    drain, readiness = gateway.clients.drain, gateway.driver.readiness
+    readiness.handed_over = True
+    drain.hand_over()
+    drain.order()
+    shutting_down = asyncio.create_task(drain.shut_down(0.0))
+    await until(lambda: drain.refusing_requests)
+    assert drain.cancel() == "error ending"
+    assert drain.refusing_requests and drain.closing_idle
+    shutting_down.cancel()
