--- a/lab/pressure_soak.py
+++ b/lab/pressure_soak.py
@@ -10,214 +10,41 @@
 import argparse
 import asyncio
 import contextlib
-import json
-import os
-import random
-import resource
-import socket
 import sys
 import tempfile
 from collections import Counter
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from pathlib import Path
 from typing import Any
 
 import hiredis
 
-from . import ports, protocol
-from .child_processes import Child, Children
-from .pressure import Observations, Run, SoundRequest, violations
+from .gateway_play import (
+    DEADLINE,
+    MEBIBYTE,
+    SLOW_INTERVAL,
+    SLOW_PIECES,
+    GatewayPlay,
+    Play,
+    command,
+    record_answer,
+)
+from .pressure import Observations, SoundRequest, violations
 
-MEBIBYTE = 1024 * 1024
-VALUE_BYTES = 2 * MEBIBYTE  # of a large value
-SLOW_VALUE_BYTES, SLOW_PIECES, SLOW_INTERVAL = 200_000, 20, 0.1  # a value that its host writes slowly
 BODY_BYTES = 60_000  # of an order that is left unfinished
-SOUND_CLIENTS, SOUND_INTERVAL = 6, 0.05  # seconds between an answer and the next request
-SOUND_BODY_BYTES = (10, 10, 10, 30_000, 100_000)
-DEADLINE = 2.0  # seconds, of a sound request
-WORK = 0.02  # seconds that a host takes
-MEMORY_INTERVAL = 0.05  # seconds between two looks at the process's memory
-RECEIVE_BUFFER = 32 * 1024
-READY_TIMEOUT = 30.0
-HOSTS = 4
-SETTLE_TIME = 3.0  # seconds after the hostile clients, for the last answers
+TERM_DELAY = 3.0  # seconds from the start of a new process until the old one gets SIGTERM
+KILL_DELAY = 3.7  # seconds from SIGTERM to SIGKILL
 
+Behaviour = Callable[[int], Awaitable[None]]  # of a hostile client, by its number
 
-@dataclass(frozen=True, slots=True)
-class Play:
-    """What is played; the same seed gives the same clients."""
 
-    seed: int = 1
-    seconds: float = 10.0
-    memory_mb: int = 64
-    sockets: int = 1024
-    hostile: int = 100  # clients of each patient kind
-    module: str = "saffrongw"  # the program that is started
+class Soak(GatewayPlay):
+    """One play with hostile clients."""
 
-
-class Host:
-    """A host that records what it began; an id says which value it gives."""
-
-    def __init__(self, name: str, seen: Observations) -> None:
-        self.name, self.seen = name, seen
-        self.loop = asyncio.get_running_loop()
-        self.port = 0
-
-    async def listen(self) -> Host:
-        """Listen on a port assigned by the system."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=8 * MEBIBYTE)
-        self.port = server.sockets[0].getsockname()[1]
-        return self
-
-    def list_entry(self) -> dict[str, Any]:
-        """Return its entry in discovery's list."""
-        entry: dict[str, Any] = {
-            "host": self.name,
-            "dial": f"127.0.0.1:{self.port}",
-            "site": "a",
-            "class": "m",
-        }
-        return entry | {"block": 1, "health": "SERVING", "share": 1.0, "born_ms": 0}
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        parser = hiredis.Reader()
-        with contextlib.closing(writer), contextlib.suppress(ConnectionError):
-            while data := await reader.read(256 * 1024):
-                parser.feed(data)
-                while (command := parser.gets()) is not False:
-                    await self._answer(command[2].decode(), writer)
-
-    async def _answer(self, request_id: str, writer: asyncio.StreamWriter) -> None:
-        self.seen.runs.append(Run(request_id, self.loop.time()))
-        await asyncio.sleep(WORK)
-        value = value_of(request_id)
-        writer.write(b"*3\r\n$%d\r\n" % len(value))
-        step = len(value) // SLOW_PIECES if request_id.startswith("slow") else len(value)
-        for at in range(0, len(value), step):
-            writer.write(value[at : at + step])
-            await writer.drain()
-            if step < len(value):
-                await asyncio.sleep(SLOW_INTERVAL)
-        writer.write(b"\r\n$-1\r\n$-1\r\n")
-
-
-def value_of(request_id: str) -> bytes:
-    """Return the value that hosts give for a request."""
-    size = {"large": VALUE_BYTES, "slow": SLOW_VALUE_BYTES}.get(request_id.split("-")[0], 0)
-    return request_id.encode().ljust(size, b".")
-
-
-async def serve_discovery(hosts: list[Host]) -> int:
-    """Serve the list of hosts, which never changes; return the port."""
-    body = json.dumps({"seq": 1, "whole": True, "hosts": [host.list_entry() for host in hosts]}).encode()
-
-    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.closing(writer), contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                if b"index=1" in head:
-                    await asyncio.sleep(20)
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
-
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    port: int = server.sockets[0].getsockname()[1]
-    return port
-
-
-def settings() -> dict[str, Any]:
-    """Return the settings of a gateway that runs alone, with a class of each effect."""
-    classes = [
-        {"name": name, "effect": effect, "group": "all", "target": 800_000, "deadline": 3_000_000}
-        | {"dedupWindow": 5_000_000, "credit": 1.0, "lateWorth": 0.0}
-        for name, effect in (("read", "repeatable"), ("put", "by_key"), ("bill", "once"))
-    ]
-    plan = {"name": "team", "perSecond": 1e5, "peakUnits": 1e5, "open": 0, "pays": 1.0, "beyondEarns": 0.0}
-    plan |= {"overrunCost": 1.0, "hardRate": 0.0, "capDepth": 0.0, "capSlack": 0.0}
-    capped = plan | {"name": "capped", "perSecond": 4.0, "peakUnits": 8.0}
-    capped |= {"hardRate": 8.0, "capDepth": 16.0, "capSlack": 2.0}
-    permissions: dict[str, Any] = {
-        "peers": False,
-        "probes": False,
-        "cancel": True,
-        "secondCopies": True,
-        "retryAfter": True,
-    }
-    permissions |= {"maxAttempts": 4, "maxRetryAfter": 1_000_000, "idleClose": 30_000_000}
-    return {
-        "balancers": 1,
-        "rank": 0,
-        "locality": 0,
-        "discovery": "pushed",
-        "zones": ["a"],
-        "charges": {"crossZone": 0.01, "peer": 0.01, "probe": 0.01, "waste": 0.03},
-        "classes": classes,
-        "familyInfo": {"peerIntake": 40.0, "sharedCounter": False, "unitsTop": 1},
-        "loadReport": {"how": "inline", "names": ["util"]},
-        "packages": [plan, capped],
-        "permissions": permissions | {"connectTimeout": 250_000},
-        "rules": {"askWithin": 10_000_000, "coldFrom": 0.25, "warmWithin": 10_000_000, "fallMultiple": 3.0}
-        | {"overloadFor": 3_000_000, "drainGrace": 1_000_000},
-    }
-
-
-def command(
-    kind: str, request_id: str, customer: int, *, plan: str = "team", body: bytes | None = None
-) -> bytes:
-    """Return an encoded request."""
-    terms: dict[str, Any] = {"units": 1, "deadline_ms": int(DEADLINE * 1000), "first": 0, "spread": 1}
-    key = request_id if kind == "put" else None
-    content = body if kind == "read" else (body or b"x")
-    return protocol.request(kind, plan, customer, request_id, key=key, body=content, **terms)
-
-
-class SoundConnection:
-    """A sound client's connection, with one request at a time."""
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader, self.writer, self.parser = reader, writer, hiredis.Reader()
-        self.loop = asyncio.get_running_loop()
-
-    async def send(self, request: SoundRequest, data: bytes) -> bool:
-        """Send a request and record its answer; return False if the connection ends without one."""
-        self.writer.write(data)
-        with contextlib.suppress(ConnectionError, TimeoutError):
-            async with asyncio.timeout(2 * DEADLINE):
-                while (reply := self.parser.gets()) is False:
-                    if not (received := await self.reader.read(64 * 1024)):
-                        return False
-                    self.parser.feed(received)
-            record_answer(request, reply, self.loop.time())
-            return True
-        return False
-
-
-def record_answer(request: SoundRequest, reply: object, now: float) -> None:
-    """Record the answer to a request."""
-    request.answered_at, request.outcome = now, protocol.outcome(reply)
-    request.is_whole = request.outcome != "served" or reply == value_of(request.request_id)
-
-
-class Soak:
-    """One play: the gateway process, its hosts, and its clients."""
-
-    def __init__(self, play: Play, folder: Path) -> None:
-        self.play, self.folder = play, folder
-        self.random = random.Random(play.seed)
-        self.loop = asyncio.get_running_loop()
-        self.seen = Observations(play.memory_mb * MEBIBYTE)
-        self.address = ("127.0.0.1", ports.allocate(1)[0])
-        self.children = Children(folder)
-        self.process: Child | None = None
-
-    async def run(self) -> Observations:
-        """Play, and return what was seen."""
-        hosts = [await Host(f"h{number}", self.seen).listen() for number in range(HOSTS)]
-        await self._start(hosts)
-        tasks: list[asyncio.Task[None]] = [self.loop.create_task(self._watch_memory())]
-        tasks += [self.loop.create_task(self._sound_client(number)) for number in range(SOUND_CLIENTS)]
-        patient: list[Callable[[int], Awaitable[None]]] = [self._leave_unfinished, self._read_slowly]
-        once: list[Callable[[int], Awaitable[None]]] = [
+    def other_clients(self) -> Sequence[Coroutine[Any, Any, None]]:
+        """Return the hostile clients in a random order and, if it is wanted, the upgrade."""
+        patient: list[Behaviour] = [self._leave_unfinished, self._read_slowly]
+        once: list[Behaviour] = [
             self._flood_with_junk,
             self._flood_with_names,
             self._close_unread,
@@ -226,102 +53,33 @@
         ]
         hostile = [*patient * self.play.hostile, *once * 3]
         self.random.shuffle(hostile)
+        players: list[Coroutine[Any, Any, None]] = [self._upgrade()] if self.play.upgrade else []
         for number, behave in enumerate(hostile):
             delay = self.random.random() * self.play.seconds / 2
-            tasks.append(self.loop.create_task(self._behave(behave, number, delay)))
-        await asyncio.sleep(self.play.seconds + SETTLE_TIME)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        await self._stop()
-        return self.seen
+            players.append(self._behave(behave, number, delay))
+        return players
 
-    async def _behave(self, behave: Callable[[int], Awaitable[None]], number: int, delay: float) -> None:
+    async def _behave(self, behave: Behaviour, number: int, delay: float) -> None:
         await asyncio.sleep(delay)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             await behave(number)
 
-    async def _start(self, hosts: list[Host]) -> None:
-        configuration = {
-            "name": "n0",
-            "listen": "{}:{}".format(*self.address),
-            "discovery": f"127.0.0.1:{await serve_discovery(hosts)}",
-            "seed": f"{self.play.seed:x}",
-            "limits": {"sockets": self.play.sockets, "memory_mb": self.play.memory_mb},
-            "settings": settings(),
-        }
-        file = self.folder / "config.json"
-        file.write_text(json.dumps(configuration))
-        environment = os.environ | {"LB_CONFIG": str(file), "TMPDIR": str(self.folder)}
-        self.process = await self.children.start("gateway", environment=environment, module=self.play.module)
-        async with asyncio.timeout(READY_TIMEOUT):
-            while True:
-                with contextlib.suppress(OSError):
-                    _, writer = await asyncio.open_connection(*self.address)
-                    writer.close()
-                    return
-                await asyncio.sleep(0.05)
-
-    async def _stop(self) -> None:
-        assert self.process is not None
-        self.seen.has_exited = self.process.process.returncode is not None
-        if not self.seen.has_exited:
-            self.process.process.kill()
-            await self.process.process.wait()
-
-    async def _watch_memory(self) -> None:
-        assert self.process is not None
-        statm = Path(f"/proc/{self.process.process.pid}/statm")
-        while True:
-            with contextlib.suppress(OSError, IndexError):
-                self.seen.memory.append(int(statm.read_text().split()[1]) * resource.getpagesize())
-            await asyncio.sleep(MEMORY_INTERVAL)
-
-    # -- sound clients
-
-    async def _sound_client(self, number: int) -> None:
-        """Send one request after another until the play is over, on one connection while it lasts.
-
-        A request that crosses the end of its connection is sent once more, as the protocol has it.
-        """
-        ends = self.loop.time() + self.play.seconds
-        count, crossed = 0, False
-        request, data = SoundRequest("", 0.0, 0.0), b""
-        while self.loop.time() < ends or crossed:
-            with contextlib.suppress(OSError):
-                connection = SoundConnection(*await asyncio.open_connection(*self.address))
-                while self.loop.time() < ends or crossed:
-                    if not crossed:
-                        count += 1
-                        request, data = self._next_request(f"sound-{number}-{count}")
-                    is_answered = await connection.send(request, data)
-                    crossed = not (is_answered or crossed)
-                    if not is_answered:
-                        break
-                    await asyncio.sleep(SOUND_INTERVAL)
-                connection.writer.close()
-
-    def _next_request(self, request_id: str) -> tuple[SoundRequest, bytes]:
-        kind = self.random.choice(("read", "put", "bill"))
-        body = bytes(self.random.choice(SOUND_BODY_BYTES)) if kind != "read" else None
-        if kind == "bill":
-            self.seen.unsafe.add(request_id)
-        request = SoundRequest(request_id, self.loop.time(), DEADLINE)
-        self.seen.requests.append(request)
-        return request, command(kind, request_id, self.random.randrange(20), body=body)
-
-    # -- hostile clients
-
-    async def _connect(self) -> socket.socket:
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-        sock.setblocking(False)
-        await self.loop.sock_connect(sock, self.address)
-        return sock
+    async def _upgrade(self) -> None:
+        """Replace the process as operators do: SIGTERM while the next one serves, then SIGKILL."""
+        await asyncio.sleep(self.play.seconds / 2)
+        predecessor = self.processes[-1].process
+        await self._start_process("successor")
+        await asyncio.sleep(TERM_DELAY)
+        with contextlib.suppress(ProcessLookupError):
+            predecessor.terminate()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(predecessor.wait(), KILL_DELAY)
+        with contextlib.suppress(ProcessLookupError):
+            predecessor.kill()
 
     async def _leave_unfinished(self, number: int) -> None:
         """Write an order slowly and stop half way."""
-        with await self._connect() as sock:
+        with await self.connect() as sock:
             data = command("put", f"unfinished-{number}", number, body=bytes(BODY_BYTES))
             for at in range(0, self.random.randrange(BODY_BYTES), 1_500):
                 await self.loop.sock_sendall(sock, data[at : at + 1_500])
@@ -330,7 +88,7 @@
 
     async def _read_slowly(self, number: int) -> None:
         """Read a large value slowly."""
-        with await self._connect() as sock:
+        with await self.connect() as sock:
             await self.loop.sock_sendall(sock, command("read", f"large-{number}", number))
             while await self.loop.sock_recv(sock, 8 * 1024):
                 await asyncio.sleep(0.2)
@@ -361,7 +119,7 @@
 
     async def _close_unread(self, number: int) -> None:
         """Send many requests and close, with most of it unread."""
-        with await self._connect() as sock:
+        with await self.connect() as sock:
             ids = [f"left-{number}-{count}" for count in range(200)]
             self.seen.unsafe.update(ids)
             await self.loop.sock_sendall(sock, b"".join(command("bill", name, number) for name in ids))
@@ -374,7 +132,7 @@
         request_id = f"again-{number}"
         self.seen.unsafe.add(request_id)
         for pause in (0.1, 0.01, 0.1):
-            with await self._connect() as sock:
+            with await self.connect() as sock:
                 await self.loop.sock_sendall(sock, command("bill", request_id, number))
                 await asyncio.sleep(pause)
 
@@ -412,8 +170,15 @@
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--memory", type=int, default=64, help="MiB")
     parser.add_argument("--hostile", type=int, default=100, help="clients of each patient kind")
+    parser.add_argument("--upgrade", action="store_true", help="replace the process at half of the time")
     arguments = parser.parse_args()
-    play = Play(arguments.seed, arguments.seconds, arguments.memory, hostile=arguments.hostile)
+    play = Play(
+        arguments.seed,
+        arguments.seconds,
+        arguments.memory,
+        hostile=arguments.hostile,
+        upgrade=arguments.upgrade,
+    )
     seen = asyncio.run(play_soak(play))
     found = violations(seen)
     outcomes = Counter(request.outcome or "none" for request in seen.requests)
--- a/tests/test_pressure_soak.py
+++ b/tests/test_pressure_soak.py
@@ -9,8 +9,9 @@
 
 import pytest
 
+from lab.gateway_play import MEBIBYTE, Play
 from lab.pressure import ANSWER_GRACE, CLOSE_GRACE, Observations, Run, SoundRequest, violations
-from lab.pressure_soak import MEBIBYTE, Play, play_soak
+from lab.pressure_soak import play_soak
 
 LEAKING_PROGRAM = """
 from saffrongw import __main__, calls
@@ -53,9 +54,17 @@
     assert any(expected in text for text in violations(seen))
 
 
-@pytest.mark.parametrize(("seed", "memory_mb"), [(1, 64), (2, 128), (3, 192)])
-def test_sound_clients_get_what_they_are_owed_beside_hostile_ones(seed, memory_mb):
-    seen = asyncio.run(play_soak(Play(seed, 8.0, memory_mb, hostile=80)))
+PLAYS = {
+    "64": Play(1, 8.0, 64, hostile=80),
+    "128": Play(2, 8.0, 128, hostile=80),
+    "192": Play(3, 8.0, 192, hostile=80),
+    "upgrade": Play(4, 8.0, 128, hostile=80, upgrade=True),
+}
+
+
+@pytest.mark.parametrize("play", PLAYS.values(), ids=PLAYS)
+def test_sound_clients_get_what_they_are_owed_beside_hostile_ones(play):
+    seen = asyncio.run(play_soak(play))
     assert violations(seen) == []
     served = sum(request.outcome == "served" for request in seen.requests)
     assert served > len(seen.requests) // 2
