Plant a leak that the memory budget cannot contain, in the test that has to find it

test_a_process_that_keeps_bodies_is_found failed once in a run of the whole script beside another soak: the planted process stayed within its 64 MiB. The gateway measures its resident memory, takes 100 KB a request that nothing counts for what it is, and refuses more once the budget is used up; so the leak stops near the limit, and how far above it was left to chance.

The planted process keeps a megabyte of each of its first 200 requests now and does not look at its own memory. What is asserted is the same.

--- a/tests/test_pressure_soak.py
+++ b/tests/test_pressure_soak.py
@@ -13,10 +13,19 @@
 from lab.pressure import ANSWER_GRACE, CLOSE_GRACE, Observations, Run, SoundRequest, violations
 from lab.pressure_soak import play_soak
 
+# A process that keeps a megabyte of each of its first requests and does not look at its own memory: one that
+# does refuses more requests as soon as the budget is used up, and stays near its limit.
 LEAKING_PROGRAM = """
-from saffrongw import __main__, calls
+from saffrongw import __main__, calls, memory
 kept, finish = [], calls.Call.finish
-calls.Call.finish = lambda call: (kept.append(bytearray(100_000)), finish(call))
+
+def leak(call):
+    if len(kept) < 200:
+        kept.append(b"x" * 1_000_000)
+    finish(call)
+
+calls.Call.finish = leak
+memory.MemoryBudget.measure = lambda budget, resident_bytes, reserved_unused: None
 raise SystemExit(__main__.main())
 """
 
