Let go of an ended connection when its client closes, not a second later

Cause: after a half-close a connection waits a second for its client's close. The timer was not cancelled when the client closed before, and held the connection's object; at 1,800 connections a second that is 8 MB that nothing counts, and the budget refuses requests for it. Now the timer ends with the connection.

The new test fails on the code before (the object is there for 1.0 s; half of that allowed).

--- a/saffrongw/client.py
+++ b/saffrongw/client.py
@@ -75,6 +75,7 @@
         self.last_seen = self.waiting_since  # when the client was last known to be connected, while paused
         self.backlog = InputBacklog()
         self.transport: asyncio.Transport | None = None
+        self.linger_timer: asyncio.TimerHandle | None = None
         self.close_reason: CloseReason | None = None  # the first one, once this side has begun to close
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -425,7 +426,7 @@
         self._linger()
 
     def _linger(self) -> None:
-        self.clients.driver.loop.call_later(LINGER_TIMEOUT, self._abort_after_linger)
+        self.linger_timer = self.clients.driver.loop.call_later(LINGER_TIMEOUT, self._abort_after_linger)
 
     def _abort_after_linger(self) -> None:
         if not self.transport.is_closing():
@@ -506,6 +507,8 @@
         self.clients.open.pop(self, None)
         self.clients.half_closed.pop(self, None)
         self._count_unsent_bytes()
+        if self.linger_timer:
+            self.linger_timer.cancel()  # it would keep this object
         if request_log := self.clients.driver.request_log:
             address = self.transport.get_extra_info("peername")
             request_log.connection_closed("client", address, self.close_reason or CloseReason.PEER)
--- a/tests/test_released_objects.py
+++ b/tests/test_released_objects.py
@@ -18,7 +18,7 @@
 
 from orchidlane import interface as api
 from saffrongw.calls import Attempt, Call
-from saffrongw.client import Client
+from saffrongw.client import LINGER_TIMEOUT, Client
 from saffrongw.resp import LARGE_VALUE_BYTES_MAX, LargeValue
 from saffrongw.response_slots import Slot
 from saffrongw.uploads import Upload
@@ -254,6 +254,18 @@
     assert scene.gateway.clients.request_memory.held == scene.gateway.clients.waiting_replies.held == 0
 
 
+@asyncio_test
+async def test_nothing_of_an_ended_connection_is_left_once_its_client_has_closed():
+    """A timer kept each of them for a second: 1,800 a second took a process past its limit of 32 MiB."""
+    gateway = LoopbackGateway(await FakeHost("a").listen())
+    client = await gateway.connect_client()
+    client.transport.write(b"junk\r\n")  # is answered with an error and the end of the connection
+    await until(lambda: client.closed)
+    closed_at = gateway.loop.time()
+    await until(lambda: not live_objects((Client,)))
+    assert gateway.loop.time() - closed_at < LINGER_TIMEOUT / 2
+
+
 def resident_bytes(pid: int) -> int:
     """Return the resident memory of a process."""
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * resource.getpagesize()
