Execute operators' calls as soon as a takeover has failed

Rereading the commit that has them wait for the takeover showed a fault of it: where the takeover fails and discovery is silent, the new process serves after four more seconds, and calls waited as long; an answer is owed within one. Now a failed takeover ends their wait at once.

test_the_successor_starts_without_the_state_if_that_is_malformed asks an operator's question after the failed takeover; its four cases fail without the change.

--- a/saffrongw/process.py
+++ b/saffrongw/process.py
@@ -180,6 +180,8 @@
         taken_over = predecessor is not None and await predecessor.take_over(
             driver, self.watch.synchronized, self.control.command_waits
         )
+        if not taken_over:
+            self.control.takeover_ended.set()
         if config.peer_listen and config.settings.may_tell_peers:
             # Without configured peers, membership provides their addresses.
             self.peers = Peers(driver, config.peers, config.settings.rank)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -29,6 +29,7 @@
 from orchidlane import interface as api
 from orchidlane.rules import SERVER_RETRY_INTERVAL, Gateway
 
+ANSWER_LIMIT = 1.0  # seconds within which an operator is owed an answer
 OK = b"*1\r\n$2\r\nok\r\n"
 # A quota that is hardly refilled during a test.
 SLOW_REFILL = {"packages": [RAW_SETTINGS["packages"][0] | {"perSecond": 0.001, "peakUnits": 40.0}]}
@@ -385,9 +386,15 @@
                     sock.sendall(state)
 
             thread = asyncio.create_task(asyncio.to_thread(predecessor))
+            await gateway.start(ready=False)
+            await thread  # the takeover fails now
+            async with asyncio.timeout(ANSWER_LIMIT):
+                while (answer := await gateway.send_control_call(b"JOIN")) == "nobody":
+                    await asyncio.sleep(0.01)
+            assert answer == "done joined\n"
             async with asyncio.timeout(10):
-                await gateway.start()
-            await thread
+                while not (await gateway.send_control_call(b"HEALTH")).startswith("done"):
+                    await asyncio.sleep(0.02)
         listener.close()
         assert await send_request(gateway) == b"ok"
 
